--- /dev/null
+++ b/bench/fleet.py
@@ -0,0 +1,314 @@
+"""Starts a fleet with its stand-ins on loopback, gives orders and stops what it started."""
+
+import hashlib
+import json
+import os
+import signal
+import subprocess
+import time
+import urllib.error
+import urllib.request
+
+ROOT = os.path.dirname(os.path.dirname(os.path.abspath(__file__)))
+BUILD = os.environ.get("FESCUE_BUILD", os.path.join(ROOT, "build"))
+LINK_KEY = "example-link-key-0001"
+RECEIPT_KEY = "example-receipt-key-0001"
+TOKEN = "example-operator-token"
+READ_TOKEN = "example-reader-token"
+
+
+def sha256(text):
+    return hashlib.sha256(text.encode()).hexdigest()
+
+
+def http(method, port, path, body=None, token=None, timeout=10):
+    """Sends one request to loopback and returns status and text."""
+    data = body.encode() if isinstance(body, str) else body
+    request = urllib.request.Request("http://127.0.0.1:%d%s" % (port, path), data=data, method=method)
+    if token:
+        request.add_header("Authorization", "Bearer " + token)
+    try:
+        with urllib.request.urlopen(request, timeout=timeout) as answer:
+            return answer.status, answer.read().decode()
+    except urllib.error.HTTPError as error:
+        return error.code, error.read().decode()
+
+
+class Pool:
+    """Endpoints of one pool: one stand-in process."""
+
+    def __init__(self, name, count, slots, base_port, connections=330):
+        self.name, self.count, self.slots, self.base_port = name, count, slots, base_port
+        self.control_port = base_port + 90
+        self.connections = connections
+
+    def endpoint(self, index):
+        return "%s-%d" % (self.name, index)
+
+
+class Fleet:
+    """Nodes, platform and endpoints of one run. Use as a context manager."""
+
+    def __init__(self, work, nodes=4, pools=(), base_port=21000, policy="fair", zones=4, settings=None,
+                 cutters=False, seed=1):
+        self.work, self.count, self.pools = work, nodes, list(pools)
+        self.base, self.policy, self.zones, self.seed = base_port, policy, zones, seed
+        self.extra, self.cutters = settings or {}, cutters
+        self.platform_port = base_port + 900
+        self.cut_control = base_port + 901
+        self.processes = {}
+        self.frozen = set()
+        os.makedirs(work, exist_ok=True)
+
+    # Ports of node `index`.
+    def caller(self, index):
+        return self.base + index * 4
+
+    def link(self, index):
+        return self.base + index * 4 + 1
+
+    def gossip(self, index):
+        return self.base + index * 4 + 2
+
+    def admin(self, index):
+        return self.base + index * 4 + 3
+
+    def cut_port(self, index):
+        return self.base + 600 + index
+
+    def name(self, index):
+        return "n%d" % index
+
+    def start(self, name, command):
+        log = open(os.path.join(self.work, name + ".log"), "a")
+        process = subprocess.Popen(command, stdout=log, stderr=subprocess.STDOUT, stdin=subprocess.DEVNULL)
+        log.close()
+        self.processes[name] = process
+        return process
+
+    def binary(self, name):
+        return os.path.join(BUILD, name)
+
+    def node_settings(self, index):
+        seeds = [{"address": "127.0.0.1", "port": self.cut_port(i) if self.cutters else self.gossip(i)}
+                 for i in range(min(3, self.count)) if i != index]
+        settings = {
+            "node": self.name(index), "zone": "az%d" % (index % self.zones), "address": "127.0.0.1",
+            "caller_port": self.caller(index), "link_port": self.link(index), "gossip_port": self.gossip(index),
+            "admin_port": self.admin(index), "platform": {"address": "127.0.0.1", "port": self.platform_port},
+            "seeds": seeds, "link_keys": [LINK_KEY], "receipt_keys": [RECEIPT_KEY],
+            "operators": [{"name": "operator", "token_sha256": sha256(TOKEN), "role": "publish"},
+                          {"name": "reader", "token_sha256": sha256(READ_TOKEN), "role": "read"}],
+            "policy": self.policy,
+        }
+        if self.cutters:
+            settings["advertised_link_port"] = self.cut_port(index)
+            settings["advertised_gossip_port"] = self.cut_port(index)
+        settings.update(self.extra)
+        return settings
+
+    def start_node(self, index, **changes):
+        path = os.path.join(self.work, self.name(index) + ".json")
+        settings = self.node_settings(index)
+        settings.update(changes)
+        with open(path, "w") as file:
+            json.dump(settings, file)
+        return self.start(self.name(index), [self.binary("fescued"), "--settings", path])
+
+    def start_platform(self):
+        self.start("platform", [self.binary("platform_stand_in"), "--port", str(self.platform_port)])
+
+    def start_pool(self, pool):
+        self.start("pool-" + pool.name, [
+            self.binary("endpoint_stand_in"), "--base-port", str(pool.base_port), "--control-port",
+            str(pool.control_port), "--count", str(pool.count), "--slots", str(pool.slots), "--log",
+            os.path.join(self.work, "runs-%s.jsonl" % pool.name), "--seed", str(self.seed)])
+
+    def start_cutter(self):
+        pairs = ["%d:%d:%d" % (self.cut_port(i), self.link(i), self.gossip(i)) for i in range(self.count)]
+        self.start("cutter", [self.binary("link_cutter_stand_in"), "--control-port", str(self.cut_control)] + pairs)
+
+    def __enter__(self):
+        try:
+            self.start_platform()
+            for pool in self.pools:
+                self.start_pool(pool)
+            if self.cutters:
+                self.start_cutter()
+            time.sleep(0.2)
+            for index in range(self.count):
+                self.start_node(index)
+            self.wait_members()
+        except BaseException:
+            self.stop()
+            raise
+        return self
+
+    def __exit__(self, *_):
+        self.stop()
+
+    def stop(self):
+        for name in list(self.frozen):
+            self.thaw(name)
+        for process in self.processes.values():
+            if process.poll() is None:
+                process.kill()
+        for process in self.processes.values():
+            process.wait()
+
+    def freeze(self, name):
+        self.frozen.add(name)
+        self.processes[name].send_signal(signal.SIGSTOP)
+
+    def thaw(self, name):
+        self.frozen.discard(name)
+        if self.processes[name].poll() is None:
+            self.processes[name].send_signal(signal.SIGCONT)
+
+    def kill(self, name):
+        self.processes[name].kill()
+        self.processes[name].wait()
+
+    def status(self, index):
+        return json.loads(http("GET", self.admin(index), "/v1/status", token=TOKEN)[1])
+
+    def wait_members(self, seconds=20):
+        """Waits until every node sees every other."""
+        until = time.time() + seconds
+        while time.time() < until:
+            try:
+                seen = [sum(m["state"] == "alive" for m in self.status(i)["members"]) for i in range(self.count)]
+                if min(seen) == self.count:
+                    return
+            except (OSError, ValueError):
+                pass
+            time.sleep(0.1)
+        raise RuntimeError("the nodes did not find one another")
+
+    def publish(self, objects, node=0, base=None, publish_id=None):
+        text = objects if isinstance(objects, str) else json.dumps(objects)
+        if base is None:
+            base = self.status(node)["revision"]
+        publish_id = publish_id or "p%d-%f" % (base, time.time())
+        status, body = http("POST", self.admin(node), "/v1/publish?base=%d&publish_id=%s" % (base, publish_id), text,
+                            token=TOKEN, timeout=30)
+        return status, json.loads(body)
+
+    def wait_revision(self, revision, seconds=16, nodes=None):
+        """Waits until the revision is in force on the nodes; returns the time it took on each."""
+        start, times = time.time(), {}
+        nodes = range(self.count) if nodes is None else nodes
+        while time.time() - start < seconds:
+            for index in nodes:
+                if index not in times and self.status(index)["revision"] >= revision:
+                    times[index] = time.time() - start
+            if len(times) == len(list(nodes)):
+                return times
+            time.sleep(0.02)
+        raise RuntimeError("revision %d is not in force on %s" % (revision, sorted(set(nodes) - set(times))))
+
+    def platform(self, **order):
+        http("POST", self.platform_port, "/control", json.dumps(order))
+
+    def counters(self):
+        return json.loads(http("GET", self.platform_port, "/counters")[1])
+
+    def endpoint_faults(self, pool, index, **faults):
+        http("POST", pool.control_port, "/", json.dumps({"endpoint": index, "faults": faults}))
+
+    def cut(self, index, direction):
+        """Cuts traffic towards ("to") or from ("from") a node's advertised port, or mends it ("none")."""
+        http("POST", self.cut_control, "/", json.dumps({"port": self.cut_port(index), "cut": direction}))
+
+    def services(self, node=0):
+        return json.loads(http("GET", self.admin(node), "/v1/services", token=TOKEN)[1])["services"]
+
+    def owner(self, service, node=0):
+        for item in self.services(node):
+            if item["service"] == service:
+                return item["owner"]
+        return None
+
+    def runs(self, pool):
+        path = os.path.join(self.work, "runs-%s.jsonl" % pool.name)
+        with open(path) as file:
+            return [json.loads(line) for line in file if line.endswith("\n")]
+
+    def load(self, streams, duration, targets=None, background=False, **plan):
+        """Runs the load client; returns its report, or the running process when in the background."""
+        plan = dict(plan, streams=streams, duration_s=duration)
+        ports = targets or [self.caller(i) for i in range(self.count)]
+        plan["targets"] = [{"address": "127.0.0.1", "port": port} for port in ports]
+        plan.setdefault("seed", self.seed)
+        name = plan.setdefault("run", "r%d" % len([n for n in self.processes if n.startswith("load")]))
+        path = os.path.join(self.work, "load-%s.json" % name)
+        with open(path, "w") as file:
+            json.dump(plan, file)
+        process = subprocess.Popen([self.binary("load_stand_in"), path], stdout=subprocess.PIPE)
+        self.processes["load-" + name] = process
+        return process if background else json.loads(process.communicate()[0])
+
+
+def stream(name, rate, target, work_ms=10, **more):
+    """One stream of the load client with a steady rate."""
+    phases = more.pop("phases", None) or [{"at_s": 0, "rate": rate}]
+    return dict({"name": name, "target": target, "work_ms": work_ms, "phases": phases}, **more)
+
+
+def pool_objects(pools):
+    """Endpoints and pools objects of stand-in pools."""
+    objects = {"endpoints": {}, "pools": {}}
+    for pool in pools:
+        names = []
+        for index in range(pool.count):
+            names.append(pool.endpoint(index))
+            objects["endpoints"][pool.endpoint(index)] = {
+                "address": "127.0.0.1", "port": pool.base_port + index, "zone": "az%d" % (index % 4)}
+        objects["pools"][pool.name] = {"endpoints": names, "slots": pool.slots, "max_connections": pool.connections}
+    return objects
+
+
+def authority_pools(base_port):
+    """The Adaptation Grants Gateway at the size of today."""
+    return [Pool("status", 8, 2, base_port), Pool("disbursement", 8, 2, base_port + 100),
+            Pool("records", 12, 2, base_port + 200)]
+
+
+def utility_pools(base_port):
+    """The Dyffryn Dossier Gateway at the size of today."""
+    return [Pool("dossier", 8, 6, base_port + 300, 390), Pool("filing", 9, 6, base_port + 400, 390),
+            Pool("reference", 20, 6, base_port + 500, 390)]
+
+
+def example_objects(pools):
+    """Object set shaped like both deployments, for the pools that are given."""
+    objects = pool_objects(pools)
+    names = [pool.name for pool in pools]
+    objects["services"] = {name: {"pool": name, "floor": 0.5} for name in names}
+    objects["priorities"] = {
+        "filing": {"rank": 0, "max_wait_ms": 1000},
+        "read": {"rank": 1, "max_wait_ms": 300},
+        "archive": {"rank": 5, "max_wait_ms": 20000, "max_share": 0.9},
+    }
+    objects["limits"] = {"standard": {"rate": 20000, "burst": 5000}}
+    objects["accounts"] = {
+        "caseworkers": {"key_sha256": sha256("caseworker-key"), "group": "caseworkers", "weight": 2,
+                        "limit": "standard"},
+        "applicants": {"key_sha256": sha256("applicant-key"), "group": "applicants", "limit": "standard"},
+        "assessors": {"key_sha256": sha256("assessor-key"), "group": "assessors", "limit": "standard"},
+    }
+    routes = {
+        "status": ("status", "GET", "/status", "read", True), "disburse": ("disbursement", "POST", "/disburse", "filing", False),
+        "records": ("records", "GET", "/records", "read", True), "archive": ("records", "GET", "/archive", "archive", True),
+        "dossier": ("dossier", "GET", "/dossier", "read", True), "lodge": ("filing", "POST", "/lodge", "filing", False),
+        "register": ("filing", "GET", "/register", "read", True),
+        "reference": ("reference", "GET", "/reference", "read", True),
+        "bulk": ("reference", "GET", "/bulk", "archive", True), "upload": ("reference", "POST", "/upload", "read", True),
+    }
+    objects["routes"] = {}
+    for name, (service, method, prefix, priority, repeatable) in routes.items():
+        if service in names:
+            objects["routes"][name] = {
+                "method": method, "path_prefix": prefix, "service": service, "priority": priority,
+                "repeatable": repeatable, "deadline_ms": 30000 if priority == "archive" else 10000}
+    return objects
--- /dev/null
+++ b/fescuectl/commands.cc
@@ -0,0 +1,277 @@
+#include "fescuectl/commands.h"
+
+#include <boost/algorithm/string/trim.hpp>
+#include <fstream>
+#include <iomanip>
+#include <iostream>
+#include <random>
+#include <sstream>
+
+#include "fescueramp/config/object_set.h"
+#include "fescueramp/config/partition.h"
+#include "fescueramp/config/schema.h"
+#include "fescueramp/journal/receipt.h"
+#include "fescueramp/node/trace.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr std::size_t kMaxDifferences = 20;
+
+std::string ReadFile(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw Error(ResultCode::kUsage, "cannot read " + path);
+  std::stringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+std::string NewPublishId() {
+  std::random_device random;
+  std::ostringstream id;
+  id << std::hex << random() << random();
+  return id.str();
+}
+
+std::string Text(const json::value& value) {
+  return value.is_string() ? std::string(value.get_string()) : json::serialize(value);
+}
+
+bool IsRefusal(const json::value& answer) {
+  const auto* code = answer.is_object() ? answer.get_object().if_contains("code") : nullptr;
+  return code && code->to_number<std::int64_t>() != 0;
+}
+
+/// Prints a result with its mistakes and differences; returns the exit code.
+int PrintResult(const CommandOptions& options, const json::value& answer) {
+  const bool refused = IsRefusal(answer);
+  if (options.m_json) {
+    std::cout << json::serialize(answer) << "\n";
+    return refused ? 1 : 0;
+  }
+  const json::object& object = answer.as_object();
+  auto& out = refused ? std::cerr : std::cout;
+  out << Text(object.at("code")) << " " << Text(object.at("result")) << ": " << Text(object.at("text")) << "\n";
+  if (const auto* problem = object.if_contains("problem")) out << "  " << Text(*problem) << "\n";
+  if (const auto* revision = object.if_contains("revision")) out << "  revision " << Text(*revision) << "\n";
+  if (const auto* mistakes = object.if_contains("mistakes")) {
+    for (const auto& mistake : FromJson<std::vector<Mistake>>(*mistakes)) {
+      out << "  " << mistake.m_object << (mistake.m_field.empty() ? "" : "." + mistake.m_field) << ": "
+          << mistake.m_problem << "; accepted: " << mistake.m_accepted << "\n";
+    }
+  }
+  if (const auto* differences = object.if_contains("differences")) {
+    for (const auto& difference : differences->as_array()) out << "  since then: " << Text(difference) << "\n";
+  }
+  return refused ? 1 : 0;
+}
+
+json::value LocalResult(ResultCode code, const std::vector<Mistake>& mistakes) {
+  const ResultInfo& info = Info(code);
+  return {{"code", static_cast<int>(code)}, {"result", info.m_name}, {"text", info.m_text}, {"mistakes", ToJson(mistakes)}};
+}
+
+/// The set in force; a fleet without one has revision 0 and an empty set.
+json::value FetchObjects(const CommandOptions& options) {
+  json::value answer = AdminClient(options.m_target).Call("GET", "/v1/objects");
+  if (!IsRefusal(answer)) return answer;
+  if (answer.at("code").to_number<int>() != static_cast<int>(ResultCode::kNotReady)) {
+    throw Error(static_cast<ResultCode>(answer.at("code").to_number<int>()), Text(answer.at("text")));
+  }
+  return {{"revision", 0}, {"set", json::object()}};
+}
+
+json::value SendPublish(const CommandOptions& options, const std::string& text, std::int64_t base,
+                        const std::string& publish_id) {
+  const std::string path = "/v1/publish?base=" + std::to_string(base) + "&publish_id=" + EncodeQuery(publish_id);
+  return AdminClient(options.m_target).Call("POST", path, text);
+}
+
+json::value CheckedCall(const CommandOptions& options, const std::string& path) {
+  json::value answer = AdminClient(options.m_target).Call("GET", path);
+  if (!IsRefusal(answer)) return answer;
+  const auto code = static_cast<ResultCode>(answer.at("code").to_number<int>());
+  const auto* problem = answer.get_object().if_contains("problem");
+  throw Error(code, Text(problem ? *problem : answer.at("text")));
+}
+
+}  // namespace
+
+int Validate(const CommandOptions& options, const std::string& file) {
+  const ParsedObjectSet parsed = ParseObjectSet(ReadFile(file));
+  const ResultCode code = parsed.m_mistakes.empty() ? ResultCode::kOk : ResultCode::kInvalidObjectSet;
+  return PrintResult(options, LocalResult(code, parsed.m_mistakes));
+}
+
+int Diff(const CommandOptions& options, const std::string& file) {
+  const ParsedObjectSet wanted = ParseObjectSet(ReadFile(file));
+  if (!wanted.m_mistakes.empty()) {
+    return PrintResult(options, LocalResult(ResultCode::kInvalidObjectSet, wanted.m_mistakes));
+  }
+  const json::value objects = FetchObjects(options);
+  const auto differences = DiffObjectSets(ParseObjectSet(json::serialize(objects.at("set"))).m_set, wanted.m_set);
+  if (options.m_json) {
+    std::cout << json::serialize(ToJson(differences)) << "\n";
+    return 0;
+  }
+  for (const auto& difference : differences) std::cout << difference << "\n";
+  return 0;
+}
+
+int Publish(const CommandOptions& options, const std::string& file, std::int64_t base, std::string publish_id) {
+  if (base == 0) base = FetchObjects(options).at("revision").to_number<std::int64_t>();
+  if (publish_id.empty()) publish_id = NewPublishId();
+  return PrintResult(options, SendPublish(options, ReadFile(file), base, publish_id));
+}
+
+int Rollback(const CommandOptions& options, std::int64_t revision) {
+  const std::string path = "/v1/rollback?to=" + std::to_string(revision) + "&publish_id=" + NewPublishId();
+  return PrintResult(options, AdminClient(options.m_target).Call("POST", path));
+}
+
+int History(const CommandOptions& options) {
+  const json::value answer = CheckedCall(options, "/v1/history");
+  if (options.m_json) {
+    std::cout << json::serialize(answer) << "\n";
+    return 0;
+  }
+  const auto head = FromJson<ConfigHead>(answer);
+  std::vector<Publication> all = {head.m_current};
+  all.insert(all.end(), head.m_history.begin(), head.m_history.end());
+  for (const auto& publication : all) {
+    const std::time_t time = publication.m_time_ms / 1000;
+    std::cout << std::setw(8) << publication.m_revision << "  " << std::put_time(std::gmtime(&time), "%F %T UTC")
+              << "  " << publication.m_author << "  " << publication.m_publish_id << "\n";
+  }
+  return 0;
+}
+
+int Get(const CommandOptions& options) {
+  std::cout << json::serialize(CheckedCall(options, "/v1/objects").at("set")) << "\n";
+  return 0;
+}
+
+int ConfigStatus(const CommandOptions& options) {
+  const json::value answer = CheckedCall(options, "/v1/fleet");
+  if (options.m_json) {
+    std::cout << json::serialize(answer) << "\n";
+    return 0;
+  }
+  std::cout << std::left << std::setw(20) << "NODE" << std::setw(10) << "STATE" << std::setw(12) << "ZONE"
+            << std::setw(10) << "REVISION" << std::setw(8) << "READY" << "STORE\n";
+  for (const auto& node : answer.at("nodes").as_array()) {
+    const json::object& item = node.as_object();
+    const bool reachable = item.at("reachable").as_bool();
+    std::cout << std::setw(20) << Text(item.at("node")) << std::setw(10) << Text(item.at("state")) << std::setw(12)
+              << Text(item.at("zone"));
+    if (reachable) {
+      std::cout << std::setw(10) << Text(item.at("revision")) << std::setw(8)
+                << (item.at("ready").as_bool() ? "yes" : "no") << (item.at("store_available").as_bool() ? "up" : "away");
+    } else {
+      std::cout << "no answer";
+    }
+    std::cout << "\n";
+  }
+  return 0;
+}
+
+int Status(const CommandOptions& options) {
+  const json::value answer = CheckedCall(options, "/v1/services");
+  if (options.m_json) {
+    std::cout << json::serialize(answer) << "\n";
+    return 0;
+  }
+  for (const auto& service : answer.at("services").as_array()) {
+    const json::object& item = service.as_object();
+    std::cout << "service " << Text(item.at("service")) << ", dispatcher " << Text(item.at("owner"));
+    if (const auto* load = item.if_contains("load")) {
+      const auto figures = FromJson<DispatcherLoad>(*load);
+      std::cout << ", queued " << figures.m_queued << ", running " << figures.m_running << " of " << figures.m_slots
+                << " slots, in service " << figures.m_slots_in_service << ", floor " << figures.m_floor_slots;
+    }
+    std::cout << "\n";
+    const auto* endpoints = item.if_contains("endpoints");
+    if (!endpoints) continue;
+    for (const auto& status : FromJson<std::vector<EndpointStatus>>(*endpoints)) {
+      std::cout << "  " << std::left << std::setw(16) << status.m_endpoint << std::setw(10)
+                << EnumName(status.m_state) << (status.m_in_service ? "" : "out of service  ") << status.m_busy << "/"
+                << status.m_usable_slots << " slots, errors " << std::setprecision(3) << status.m_error_rate
+                << ", evidence " << status.m_error_evidence << "/" << status.m_latency_evidence;
+      if (!status.m_reason.empty()) std::cout << ", " << status.m_reason;
+      std::cout << "\n";
+    }
+  }
+  return 0;
+}
+
+int Explain(const CommandOptions& options, const std::string& request_id, const std::string& versus) {
+  std::string path = "/v1/explain?id=" + EncodeQuery(request_id);
+  if (!versus.empty()) path += "&versus=" + EncodeQuery(versus);
+  const json::value answer = CheckedCall(options, path);
+  if (options.m_json) {
+    std::cout << json::serialize(answer) << "\n";
+    return 0;
+  }
+  const auto* order = answer.as_object().if_contains("order");
+  const json::value& sentences = order ? order->at("sentences") : answer.at("sentences");
+  for (const auto& sentence : sentences.as_array()) std::cout << Text(sentence) << "\n";
+  return 0;
+}
+
+int OrderEndpoint(const CommandOptions& options, const std::string& order, const std::string& endpoint) {
+  const json::value objects = FetchObjects(options);
+  ObjectSet set = ParseObjectSet(json::serialize(objects.at("set"))).m_set;
+  const auto found = set.m_endpoints.find(endpoint);
+  if (found == set.m_endpoints.end()) throw Error(ResultCode::kNotFound, "there is no endpoint \"" + endpoint + "\"");
+  AdminState state = AdminState::kInService;
+  if (order == "drain") state = AdminState::kDraining;
+  if (order == "eject") state = AdminState::kEjected;
+  found->second.m_admin_state = state;
+  const auto base = objects.at("revision").to_number<std::int64_t>();
+  return PrintResult(options, SendPublish(options, SerializeObjectSet(set), base, NewPublishId()));
+}
+
+int CheckReceipt(const CommandOptions& options, const std::string& receipt, const std::string& key_file) {
+  const std::string key = boost::algorithm::trim_copy(ReadFile(key_file));
+  const auto facts = VerifyReceipt(receipt, {key});
+  if (!facts) throw Error(ResultCode::kReceiptInvalid, "altered, or made with another key");
+  if (options.m_json) {
+    std::cout << json::serialize(ToJson(*facts)) << "\n";
+    return 0;
+  }
+  std::cout << "The receipt is genuine. Request " << facts->m_request_id << " was decision " << facts->m_sequence
+            << " of dispatcher " << facts->m_dispatcher << " under revision " << facts->m_revision << ", class "
+            << facts->m_class_name << ", after waiting " << ToMilliseconds(facts->m_decided - facts->m_arrival)
+            << " ms, by the rule " << EnumName(facts->m_rule) << ", on endpoint " << facts->m_endpoint << ".\n";
+  return 0;
+}
+
+int Replay(const CommandOptions& options, const std::string& trace) {
+  std::ifstream file(trace);
+  if (!file) throw Error(ResultCode::kUsage, "cannot read " + trace);
+  const auto differences = ReplayTrace(file, kMaxDifferences);
+  for (const auto& difference : differences) {
+    if (options.m_json) continue;
+    std::cout << "line " << difference.m_line << ": " << difference.m_event << "\n  recorded: "
+              << difference.m_recorded << "\n  replayed: " << difference.m_replayed << "\n";
+  }
+  if (options.m_json) std::cout << json::serialize(json::object{{"differences", differences.size()}}) << "\n";
+  else if (differences.empty()) std::cout << "the replay gives the same effects\n";
+  return differences.empty() ? 0 : 1;
+}
+
+int PrintSchema() {
+  std::cout << SchemaMarkdown();
+  return 0;
+}
+
+int PrintCodes() {
+  std::cout << "| number | name | HTTP | meaning |\n|---|---|---|---|\n";
+  for (const auto& row : ResultTable()) {
+    std::cout << "| " << static_cast<int>(row.m_code) << " | " << row.m_name << " | " << row.m_http_status << " | "
+              << row.m_text << " |\n";
+  }
+  return 0;
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/config/objects.h
@@ -0,0 +1,100 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fescueramp/core/enum_table.h"
+#include "fescueramp/core/time.h"
+
+/// Named objects that operators publish. They refer to one another by name.
+namespace fescueramp {
+
+/// What an operator wants of an endpoint.
+enum class AdminState { kInService, kDraining, kEjected };
+
+template <>
+struct EnumTable<AdminState> {
+  static constexpr std::array<std::string_view, 3> kNames = {"in_service", "draining", "ejected"};
+};
+
+/// What happens to non-repeatable work while the platform's store is away.
+enum class StoreAwayPolicy { kRefuse };
+
+template <>
+struct EnumTable<StoreAwayPolicy> {
+  static constexpr std::array<std::string_view, 1> kNames = {"refuse"};
+};
+
+/// One server that runs work.
+struct Endpoint {
+  std::string m_address;                                 ///< IP number.
+  std::int64_t m_port = 0;                               ///< TCP port.
+  std::string m_zone;                                    ///< Availability zone.
+  AdminState m_admin_state = AdminState::kInService;     ///< What the operator wants of it.
+};
+
+/// Endpoints that are alike.
+struct Pool {
+  std::vector<std::string> m_endpoints;     ///< Names of endpoints.
+  std::int64_t m_slots = 2;                 ///< Requests that one endpoint runs at once.
+  std::int64_t m_max_connections = 330;     ///< Connections that one endpoint accepts.
+};
+
+/// Work that one pool does for callers.
+struct Service {
+  std::string m_pool;                                            ///< Name of a pool.
+  double m_floor = 0.5;                                          ///< Share of slots that ejections must leave.
+  double m_retry_ratio = 0.1;                                    ///< Retries allowed per finished request.
+  std::int64_t m_progress_timeout_ms = 2000;                     ///< Silence after which a connection is checked, ms.
+  std::int64_t m_max_queued = 10000;                             ///< Requests queued at once.
+  StoreAwayPolicy m_store_away = StoreAwayPolicy::kRefuse;       ///< Non-repeatable work without the store.
+};
+
+/// Class of requests: its order, its share of slots and its value.
+struct Priority {
+  std::int64_t m_rank = 0;              ///< Lower ranks are served first.
+  double m_max_share = 1.0;             ///< Share of slots that the class may hold.
+  std::int64_t m_max_wait_ms = 300;     ///< Expected wait above which requests are refused, ms.
+  std::int64_t m_starvation_ms = 5000;  ///< Wait after which the class gets one of every 20 free slots, ms.
+};
+
+/// Bounds on what one caller account may send.
+struct Limit {
+  double m_rate = 0;                  ///< Requests a second; 0 for no bound.
+  std::int64_t m_burst = 100;         ///< Requests above the rate at once.
+  std::int64_t m_max_concurrent = 0;  ///< Requests open at once per entry host; 0 for no bound.
+};
+
+/// Caller account.
+struct Account {
+  std::string m_key_sha256;         ///< SHA-256 of the account's API key, hexadecimal; empty for callers without one.
+  std::string m_group = "default";  ///< Group under which the account appears in metrics.
+  double m_weight = 1.0;            ///< Share of slots relative to the other accounts of a class.
+  std::string m_limit;              ///< Name of a limit; empty for none.
+};
+
+/// Rule that sends requests to a service.
+struct Route {
+  std::string m_method;                  ///< HTTP method; empty for any.
+  std::string m_path_prefix = "/";       ///< Longest matching prefix wins.
+  std::string m_service;                 ///< Name of a service.
+  std::string m_priority;                ///< Name of a priority.
+  bool m_repeatable = true;              ///< Whether running the work twice does no harm.
+  std::int64_t m_deadline_ms = 10000;    ///< Time from arrival to the end of the answer, ms.
+  std::int64_t m_max_body_bytes = 67108864;  ///< Largest request body, bytes.
+};
+
+/// A whole set, by kind and name.
+struct ObjectSet {
+  std::map<std::string, Endpoint> m_endpoints;
+  std::map<std::string, Pool> m_pools;
+  std::map<std::string, Service> m_services;
+  std::map<std::string, Priority> m_priorities;
+  std::map<std::string, Limit> m_limits;
+  std::map<std::string, Account> m_accounts;
+  std::map<std::string, Route> m_routes;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/core/result_code.h
@@ -0,0 +1,53 @@
+#pragma once
+
+#include <cstdint>
+#include <span>
+#include <string_view>
+
+namespace fescueramp {
+
+/// Numbered results told to callers and operators; numbers are never reused.
+enum class ResultCode : std::uint16_t {
+  kOk = 0,
+  kMalformedRequest = 1001,
+  kNoRoute = 1002,
+  kUnknownAccount = 1003,
+  kMissingIdempotencyKey = 1004,
+  kRateLimited = 1005,
+  kConcurrencyLimited = 1006,
+  kBodyTooLarge = 1007,
+  kNotReady = 2001,
+  kNotRun = 2002,
+  kAttemptNotRun = 2003,
+  kOutcomeUnknown = 2004,
+  kAlreadyRun = 2005,
+  kQuarantined = 2006,
+  kDeadlineExceeded = 2007,
+  kAnswerIncomplete = 2008,
+  kInvalidObjectSet = 3001,
+  kRevisionConflict = 3002,
+  kStoreUnavailable = 3003,
+  kUnauthorized = 3004,
+  kForbidden = 3005,
+  kNotFound = 3006,
+  kInvalidSettings = 3007,
+  kInvalidTrace = 3008,
+  kReceiptInvalid = 3009,
+  kUsage = 3010,
+};
+
+/// One row of the result table.
+struct ResultInfo {
+  ResultCode m_code;
+  std::string_view m_name;
+  int m_http_status;
+  std::string_view m_text;  ///< What the caller or operator is told, and what to do.
+};
+
+/// All results in ascending order of number.
+std::span<const ResultInfo> ResultTable();
+
+/// Row of `code`; every enumerator has one.
+const ResultInfo& Info(ResultCode code);
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/admin_api.cc
@@ -0,0 +1,277 @@
+#include "fescueramp/daemon/admin_api.h"
+
+#include <glog/logging.h>
+
+#include <boost/url.hpp>
+
+#include "fescueramp/daemon/wire.h"
+#include "fescueramp/journal/explain.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr std::size_t kMaxBody = 64 * 1024 * 1024;
+constexpr Duration kClockUncertainty = std::chrono::milliseconds(50);
+
+std::int64_t ToNumber(const std::string& text) {
+  std::size_t used = 0;
+  std::int64_t number = -1;
+  try {
+    number = std::stoll(text, &used);
+  } catch (const std::exception&) {
+    used = 0;
+  }
+  if (used == 0 || used != text.size()) throw Error(ResultCode::kUsage, "\"" + text + "\" is not a number");
+  return number;
+}
+
+}  // namespace
+
+AdminApi::Target AdminApi::ParseTarget(const std::string& target) {
+  const auto url = boost::urls::parse_origin_form(target);
+  if (!url) throw Error(ResultCode::kUsage, "the path can't be read");
+  Target parsed;
+  parsed.m_path = std::string(url->encoded_path());
+  for (const auto& param : url->params()) parsed.m_query[param.key] = param.value;
+  return parsed;
+}
+
+AdminApi::Reply AdminApi::Result(ResultCode code, json::object extra) {
+  const ResultInfo& info = Info(code);
+  json::object body{{"code", static_cast<int>(code)}, {"result", info.m_name}, {"text", info.m_text}};
+  for (auto& [key, value] : extra) body[key] = value;
+  return {info.m_http_status, "application/json", json::serialize(body) + "\n"};
+}
+
+AdminApi::Reply AdminApi::MakeReply(std::int64_t status, std::string content_type, std::string body) {
+  return {status, std::move(content_type), std::move(body)};
+}
+
+AdminApi::Reply AdminApi::JsonReply(const json::value& body) {
+  return MakeReply(200, "application/json", json::serialize(body));
+}
+
+const OperatorToken* AdminApi::FindOperator(const RequestHead& head) const {
+  constexpr std::string_view kScheme = "Bearer ";
+  const std::string_view field = FindHeader(head.m_headers, "authorization");
+  if (!field.starts_with(kScheme)) return nullptr;
+  const std::string hash = Sha256Hex(field.substr(kScheme.size()));
+  for (const auto& token : m_context.m_settings->m_operators) {
+    if (EqualInConstantTime(token.m_token_sha256, hash)) return &token;
+  }
+  return nullptr;
+}
+
+asio::awaitable<void> AdminApi::Handle(std::shared_ptr<HttpExchange> exchange) {
+  Reply reply;
+  std::string body;
+  while (true) {
+    const std::string part = co_await exchange->ReadBody();
+    if (part.empty()) break;
+    body += part;
+    if (body.size() > kMaxBody) break;
+  }
+  std::string problem;
+  ResultCode code = ResultCode::kOk;
+  try {
+    const Target target = ParseTarget(exchange->Head().m_target);
+    if (body.size() > kMaxBody) throw Error(ResultCode::kBodyTooLarge, "the body is longer than 64 MiB");
+    reply = co_await Route(exchange->Head().m_method, target, std::move(body), FindOperator(exchange->Head()));
+  } catch (const Error& error) {
+    code = error.Code();
+    problem = error.what();
+  }
+  if (code != ResultCode::kOk) reply = Result(code, {{"problem", problem}});
+  std::vector<HeaderField> headers;
+  headers.push_back({"Content-Type", reply.m_content_type});
+  co_await exchange->Send(reply.m_status, std::move(headers), std::move(reply.m_body));
+}
+
+asio::awaitable<AdminApi::Reply> AdminApi::Route(std::string method, Target target, std::string body,
+                                                 const OperatorToken* who) {
+  if (target.m_path == "/healthz") co_return MakeReply(200, "text/plain", "alive\n");
+  if (target.m_path == "/readyz") {
+    const bool ready = m_context.m_reducer->Ready();
+    co_return MakeReply(ready ? 200 : 503, "text/plain", ready ? "ready\n" : "not ready\n");
+  }
+  if (target.m_path == "/metrics") {
+    m_context.m_update_gauges();
+    co_return MakeReply(200, "text/plain; version=0.0.4", m_context.m_metrics->Text());
+  }
+  if (!who) co_return Result(ResultCode::kUnauthorized);
+  if (method == "GET") co_return co_await ReadRoute(std::move(target));
+  if (method != "POST") co_return Result(ResultCode::kNotFound);
+  const bool needs_publish = target.m_path != "/v1/validate";
+  if (needs_publish && who->m_role != OperatorRole::kPublish) co_return Result(ResultCode::kForbidden);
+  co_return co_await WriteRoute(std::move(target), std::move(body), who);
+}
+
+asio::awaitable<AdminApi::Reply> AdminApi::ReadRoute(Target target) {
+  if (target.m_path == "/v1/status") co_return JsonReply(ToJson(Status()));
+  if (target.m_path == "/v1/fleet") co_return co_await Fleet();
+  if (target.m_path == "/v1/services") co_return co_await Services();
+  if (target.m_path == "/v1/explain") co_return co_await Explain(std::move(target));
+  if (target.m_path == "/v1/history") {
+    co_return JsonReply(ToJson(m_context.m_config->Head()));
+  }
+  if (target.m_path == "/v1/objects") {
+    const auto& table = m_context.m_reducer->Table();
+    if (!table) co_return Result(ResultCode::kNotReady);
+    const json::object body{{"revision", table->Revision()}, {"set", ParseJson(SerializeObjectSet(table->Set()))}};
+    co_return JsonReply(body);
+  }
+  co_return Result(ResultCode::kNotFound);
+}
+
+AdminApi::Reply AdminApi::PublishReply(const PublishResult& result) {
+  json::object extra{{"revision", result.m_revision}};
+  if (!result.m_mistakes.empty()) extra["mistakes"] = ToJson(result.m_mistakes);
+  if (!result.m_differences.empty()) extra["differences"] = ToJson(result.m_differences);
+  return Result(result.m_code, std::move(extra));
+}
+
+asio::awaitable<AdminApi::Reply> AdminApi::WriteRoute(Target target, std::string body, const OperatorToken* who) {
+  if (target.m_path == "/v1/validate") {
+    const ParsedObjectSet parsed = ParseObjectSet(body);
+    const bool good = parsed.m_mistakes.empty();
+    co_return Result(good ? ResultCode::kOk : ResultCode::kInvalidObjectSet,
+                     {{"mistakes", ToJson(parsed.m_mistakes)}});
+  }
+  const std::string publish_id = target.m_query["publish_id"];
+  if (publish_id.empty()) throw Error(ResultCode::kUsage, "publish_id is missing");
+  PublishResult result;
+  if (target.m_path == "/v1/publish") {
+    const std::int64_t base = ToNumber(target.m_query["base"]);
+    result = co_await m_context.m_config->Publish({base, publish_id, who->m_name, std::move(body)});
+  } else if (target.m_path == "/v1/rollback") {
+    const std::int64_t to = ToNumber(target.m_query["to"]);
+    result = co_await m_context.m_config->Rollback(to, publish_id, who->m_name);
+  } else {
+    co_return Result(ResultCode::kNotFound);
+  }
+  if (result.m_code == ResultCode::kOk) {
+    LOG(INFO) << "operator " << who->m_name << " published revision " << result.m_revision << ", id " << publish_id;
+  }
+  co_return PublishReply(result);
+}
+
+NodeStatus AdminApi::Status() const {
+  const NodeReducer& reducer = *m_context.m_reducer;
+  NodeStatus status;
+  status.m_node = m_context.m_settings->m_node;
+  status.m_zone = m_context.m_settings->m_zone;
+  status.m_revision = reducer.Revision();
+  status.m_ready = reducer.Ready();
+  status.m_leaving = reducer.Leaving();
+  status.m_store_available = m_context.m_store->Available();
+  status.m_store_calls = m_context.m_store->Calls();
+  for (const auto& [name, member] : reducer.Members().Members()) status.m_members.push_back(member);
+  for (const auto& [service, dispatcher] : reducer.Dispatchers()) {
+    status.m_dispatchers.push_back(dispatcher->Load(m_context.m_clock->Now()));
+  }
+  return status;
+}
+
+ServiceStatus AdminApi::StatusOf(const std::string& service) const {
+  ServiceStatus status;
+  status.m_service = service;
+  status.m_owner = m_context.m_reducer->OwnerOf(service);
+  const auto& dispatchers = m_context.m_reducer->Dispatchers();
+  if (const auto found = dispatchers.find(service); found != dispatchers.end()) {
+    status.m_load = found->second->Load(m_context.m_clock->Now());
+    status.m_endpoints = found->second->Endpoints(m_context.m_clock->Now());
+  }
+  return status;
+}
+
+std::optional<std::string> AdminApi::AnswerQuery(const std::string& question) const {
+  const auto rest = [&](std::string_view prefix) { return question.substr(prefix.size()); };
+  if (question == "status") return json::serialize(ToJson(Status()));
+  if (question.starts_with("journal/")) return json::serialize(ToJson(m_context.m_journal->Find(rest("journal/"))));
+  if (question.starts_with("service/")) return json::serialize(ToJson(StatusOf(rest("service/"))));
+  return std::nullopt;
+}
+
+asio::awaitable<std::optional<std::string>> AdminApi::Ask(Member member, std::string question) {
+  if (member.m_node == m_context.m_settings->m_node) co_return AnswerQuery(question);
+  try {
+    const auto link = co_await m_context.m_links->Get(member.m_address, static_cast<std::uint16_t>(member.m_link_port));
+    const std::string path = wire::kQueryPath + question;
+    const std::string auth = wire::AuthCode(m_context.m_settings->m_link_keys.front(), path);
+    const auto stream = link->Open(path, {{wire::kAuthField, auth}}, false);
+    co_await stream->WaitHeaders();
+    std::string text;
+    for (std::string part = co_await stream->Read(); !part.empty(); part = co_await stream->Read()) text += part;
+    co_return text;
+  } catch (const LinkError&) {
+    co_return std::nullopt;
+  }
+}
+
+asio::awaitable<AdminApi::Reply> AdminApi::Fleet() {
+  json::array nodes;
+  const auto members = m_context.m_reducer->Members().Members();
+  for (const auto& [name, member] : members) {
+    json::object node{{"node", name}, {"state", EnumName(member.m_state)}, {"zone", member.m_zone}};
+    const bool gone = member.m_state == MemberState::kDead || member.m_state == MemberState::kLeft;
+    const auto text = gone ? std::nullopt : co_await Ask(member, "status");
+    node["reachable"] = text.has_value();
+    if (text) {
+      const auto status = FromJson<NodeStatus>(ParseJson(*text));
+      node["revision"] = status.m_revision;
+      node["ready"] = status.m_ready;
+      node["store_available"] = status.m_store_available;
+      node["dispatchers"] = ToJson(status.m_dispatchers);
+    }
+    nodes.push_back(std::move(node));
+  }
+  co_return JsonReply(json::object{{"nodes", std::move(nodes)}});
+}
+
+asio::awaitable<AdminApi::Reply> AdminApi::Services() {
+  const auto table = m_context.m_reducer->Table();
+  if (!table) co_return Result(ResultCode::kNotReady);
+  json::array services;
+  const auto members = m_context.m_reducer->Members().Members();
+  for (const auto& [service, object] : table->Set().m_services) {
+    const auto owner = members.find(m_context.m_reducer->OwnerOf(service));
+    if (owner == members.end()) continue;
+    const auto text = co_await Ask(owner->second, "service/" + service);
+    services.push_back(text ? ParseJson(*text) : json::value{{"service", service}, {"owner", owner->first}});
+  }
+  co_return JsonReply(json::object{{"services", std::move(services)}});
+}
+
+asio::awaitable<std::vector<DecisionRecord>> AdminApi::FindRecords(std::string request_id) {
+  const auto members = m_context.m_reducer->Members().Members();
+  // The entry host's name is the first part of the id; it is asked first.
+  const auto entry = members.find(request_id.substr(0, request_id.rfind('-')));
+  std::vector<Member> order;
+  if (entry != members.end()) order.push_back(entry->second);
+  for (const auto& [name, member] : members) {
+    if (entry == members.end() || name != entry->first) order.push_back(member);
+  }
+  for (const auto& member : order) {
+    if (member.m_state == MemberState::kDead || member.m_state == MemberState::kLeft) continue;
+    const auto text = co_await Ask(member, "journal/" + request_id);
+    if (!text) continue;
+    auto records = FromJson<std::vector<DecisionRecord>>(ParseJson(*text));
+    if (!records.empty()) co_return records;
+  }
+  co_return std::vector<DecisionRecord>();
+}
+
+asio::awaitable<AdminApi::Reply> AdminApi::Explain(Target target) {
+  const auto first = co_await FindRecords(target.m_query["id"]);
+  if (first.empty()) throw Error(ResultCode::kNotFound, "no node keeps a record of \"" + target.m_query["id"] + "\"");
+  json::object body{{"records", ToJson(first)}, {"sentences", ToJson(ExplainRequest(first))}};
+  if (const std::string versus = target.m_query["versus"]; !versus.empty()) {
+    const auto second = co_await FindRecords(versus);
+    if (second.empty()) throw Error(ResultCode::kNotFound, "no node keeps a record of \"" + versus + "\"");
+    body["versus_records"] = ToJson(second);
+    body["order"] = ToJson(ExplainOrder(first, second, kClockUncertainty));
+  }
+  co_return JsonReply(body);
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/admin_api.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+#include "fescueramp/core/clock.h"
+#include "fescueramp/daemon/config_service.h"
+#include "fescueramp/daemon/node_metrics.h"
+#include "fescueramp/daemon/settings.h"
+#include "fescueramp/journal/journal.h"
+#include "fescueramp/net/http_server.h"
+#include "fescueramp/net/link_pool.h"
+
+namespace fescueramp {
+
+/// State of one node, as operators see it.
+struct NodeStatus {
+  std::string m_node;
+  std::string m_zone;
+  std::int64_t m_revision = 0;
+  bool m_ready = false;
+  bool m_leaving = false;
+  bool m_store_available = true;
+  std::int64_t m_store_calls = 0;
+  std::vector<Member> m_members;
+  std::vector<DispatcherLoad> m_dispatchers;
+};
+BOOST_DESCRIBE_STRUCT(NodeStatus, (),
+                      (m_node, m_zone, m_revision, m_ready, m_leaving, m_store_available, m_store_calls, m_members,
+                       m_dispatchers))
+
+/// Endpoints of one service, as its dispatcher sees them.
+struct ServiceStatus {
+  std::string m_service;
+  std::string m_owner;
+  DispatcherLoad m_load;
+  std::vector<EndpointStatus> m_endpoints;
+};
+BOOST_DESCRIBE_STRUCT(ServiceStatus, (), (m_service, m_owner, m_load, m_endpoints))
+
+/// HTTP and JSON interface for operators, the balancer and metrics.
+class AdminApi {
+ public:
+  /// What the interface works with; all outlive it.
+  struct Context {
+    const Settings* m_settings = nullptr;
+    const Clock* m_clock = nullptr;
+    const NodeReducer* m_reducer = nullptr;
+    ConfigService* m_config = nullptr;
+    LinkPool* m_links = nullptr;
+    const StoreClient* m_store = nullptr;
+    const Journal* m_journal = nullptr;
+    NodeMetrics* m_metrics = nullptr;
+    std::function<void()> m_update_gauges;
+  };
+
+  explicit AdminApi(Context context) : m_context(std::move(context)) {}
+
+  /// Serves one request.
+  asio::awaitable<void> Handle(std::shared_ptr<HttpExchange> exchange);
+
+  /// Answers a question of another node, such as "status" or "journal/ID".
+  std::optional<std::string> AnswerQuery(const std::string& question) const;
+
+ private:
+  struct Reply {
+    std::int64_t m_status = 200;
+    std::string m_content_type = "application/json";
+    std::string m_body;
+  };
+
+  /// Path and query of a request.
+  struct Target {
+    std::string m_path;
+    std::map<std::string, std::string> m_query;
+  };
+
+  static Target ParseTarget(const std::string& target);
+  static Reply Result(ResultCode code, json::object extra = {});
+  static Reply MakeReply(std::int64_t status, std::string content_type, std::string body);
+  static Reply JsonReply(const json::value& body);
+  const OperatorToken* FindOperator(const RequestHead& head) const;
+  asio::awaitable<Reply> Route(std::string method, Target target, std::string body, const OperatorToken* who);
+  asio::awaitable<Reply> ReadRoute(Target target);
+  asio::awaitable<Reply> WriteRoute(Target target, std::string body, const OperatorToken* who);
+  asio::awaitable<Reply> Fleet();
+  asio::awaitable<Reply> Services();
+  asio::awaitable<Reply> Explain(Target target);
+  asio::awaitable<std::vector<DecisionRecord>> FindRecords(std::string request_id);
+  asio::awaitable<std::optional<std::string>> Ask(Member member, std::string question);
+  static Reply PublishReply(const PublishResult& result);
+  NodeStatus Status() const;
+  ServiceStatus StatusOf(const std::string& service) const;
+
+  Context m_context;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/config_service.cc
@@ -0,0 +1,314 @@
+#include "fescueramp/daemon/config_service.h"
+
+#include <algorithm>
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+
+#include "fescueramp/daemon/wire.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr std::size_t kMaxHistory = 50;
+constexpr auto kStoreRetry = std::chrono::milliseconds(500);
+constexpr auto kHostsPeriod = std::chrono::seconds(1);
+constexpr int kMaxSwaps = 5;
+const std::string kStorePrefix = "config/";
+const std::string kHeadName = "head";
+
+/// Reads from the platform's store.
+class StoreSource final : public PartSource {
+ public:
+  explicit StoreSource(StoreClient& store) : m_store(store) {}
+
+  asio::awaitable<std::optional<std::string>> Read(std::string name) override {
+    const StoreAnswered answer = co_await m_store.Get({0, kStorePrefix + name});
+    if (answer.m_status != StoreStatus::kOk) co_return std::nullopt;
+    co_return answer.m_value;
+  }
+
+ private:
+  StoreClient& m_store;
+};
+
+/// Reads from another node.
+class NodeSource final : public PartSource {
+ public:
+  NodeSource(std::shared_ptr<Link> link, std::string key) : m_link(std::move(link)), m_key(std::move(key)) {}
+
+  asio::awaitable<std::optional<std::string>> Read(std::string name) override {
+    try {
+      const std::string path = wire::kConfigPath + name;
+      const auto stream = m_link->Open(path, {{wire::kAuthField, wire::AuthCode(m_key, path)}}, false);
+      co_await stream->WaitHeaders();
+      if (FindHeader(stream->Headers(), ":status") != "200") co_return std::nullopt;
+      std::string text;
+      for (std::string part = co_await stream->Read(); !part.empty(); part = co_await stream->Read()) text += part;
+      co_return text;
+    } catch (const LinkError&) {
+      co_return std::nullopt;
+    }
+  }
+
+ private:
+  std::shared_ptr<Link> m_link;
+  std::string m_key;
+};
+
+template <typename T>
+std::optional<T> TryParse(const std::optional<std::string>& text) {
+  if (!text) return std::nullopt;
+  try {
+    return FromJson<T>(ParseJson(*text));
+  } catch (const Error&) {
+    return std::nullopt;
+  }
+}
+
+bool HasPublication(const ConfigHead& head, const std::string& publish_id, std::int64_t& revision) {
+  revision = head.m_current.m_revision;
+  if (head.m_current.m_publish_id == publish_id) return true;
+  for (const auto& earlier : head.m_history) {
+    revision = earlier.m_revision;
+    if (earlier.m_publish_id == publish_id) return true;
+  }
+  return false;
+}
+
+}  // namespace
+
+ConfigService::ConfigService(const asio::any_io_executor& executor, const Clock& clock, EventSink& sink,
+                             StoreClient& store, LinkPool& links, const std::vector<std::string>& link_keys)
+    : m_executor(executor), m_clock(clock), m_sink(sink), m_store(store), m_links(links), m_link_keys(link_keys) {}
+
+asio::awaitable<std::optional<std::string>> ConfigService::ReadChecked(PartSource& source, std::string kind,
+                                                                       std::string hash) {
+  auto text = co_await source.Read(kind + "/" + hash);
+  // A text that does not match its name is damaged, wherever it came from.
+  if (text && ContentHash(*text) != hash) co_return std::nullopt;
+  co_return text;
+}
+
+asio::awaitable<std::optional<std::string>> ConfigService::ReadSet(PartSource& source, std::string manifest_hash) {
+  const auto manifest_text = co_await ReadChecked(source, "manifest", manifest_hash);
+  const auto manifest = TryParse<Manifest>(manifest_text);
+  if (!manifest) co_return std::nullopt;
+  std::map<std::string, std::string> parts;
+  std::vector<std::string> texts;
+  for (const auto& hash : manifest->m_parts) {
+    std::optional<std::string> text;
+    if (const auto known = m_parts.find(hash); known != m_parts.end()) text = known->second;
+    else text = co_await ReadChecked(source, "part", hash);
+    if (!text) co_return std::nullopt;
+    texts.push_back(*text);
+    parts[hash] = std::move(*text);
+  }
+  std::string set_text;
+  try {
+    set_text = AssembleSet(texts);
+  } catch (const Error&) {
+    co_return std::nullopt;
+  }
+  co_return set_text;
+}
+
+asio::awaitable<bool> ConfigService::Load(PartSource& source) {
+  const auto head = TryParse<ConfigHead>(co_await source.Read(kHeadName));
+  if (!head) co_return false;
+  if (head->m_current.m_revision <= m_head.m_current.m_revision) co_return true;
+  const auto text = co_await ReadSet(source, head->m_current.m_manifest);
+  if (!text || head->m_current.m_revision <= m_head.m_current.m_revision) co_return text.has_value();
+  // A set that does not pass the checks must not become what this node serves to others.
+  ParsedObjectSet parsed;
+  try {
+    parsed = ParseObjectSet(*text);
+  } catch (const Error&) {
+    co_return false;
+  }
+  if (parsed.m_mistakes.empty()) {
+    m_head = *head;
+    m_parts.clear();
+    Manifest manifest;
+    for (auto& part : PartitionSet(parsed.m_set)) {
+      manifest.m_parts.push_back(part.m_hash);
+      m_parts[part.m_hash] = std::move(part.m_text);
+    }
+    m_manifest_text = json::serialize(ToJson(manifest));
+  }
+  m_sink.Post(ConfigurationLoaded{head->m_current.m_revision, *text});
+  co_return true;
+}
+
+asio::awaitable<bool> ConfigService::LoadFromStore() {
+  StoreSource source(m_store);
+  co_return co_await Load(source);
+}
+
+asio::awaitable<bool> ConfigService::LoadFromNode(std::string address, std::int64_t port) {
+  std::shared_ptr<Link> link;
+  try {
+    link = co_await m_links.Get(std::move(address), static_cast<std::uint16_t>(port));
+  } catch (const LinkError&) {
+    link = nullptr;
+  }
+  bool loaded = false;
+  if (link) {
+    NodeSource source(link, m_link_keys.front());
+    loaded = co_await Load(source);
+  }
+  if (!loaded) m_sink.Post(ConfigurationFailed{});
+  co_return loaded;
+}
+
+std::optional<std::string> ConfigService::Serve(const std::string& name) const {
+  if (m_head.m_current.m_revision == 0) return std::nullopt;
+  if (name == kHeadName) return json::serialize(ToJson(m_head));
+  if (name == "manifest/" + m_head.m_current.m_manifest) return m_manifest_text;
+  if (name.starts_with("part/")) {
+    if (const auto part = m_parts.find(name.substr(5)); part != m_parts.end()) return part->second;
+  }
+  return std::nullopt;
+}
+
+asio::awaitable<bool> ConfigService::StoreParts(const std::vector<SetPart>& parts, const std::string& manifest_text) {
+  // Values are named by their content, so a conflict means that they are there already.
+  for (const auto& part : parts) {
+    if (m_parts.contains(part.m_hash)) continue;
+    const StoreAnswered answer = co_await m_store.Put({0, kStorePrefix + "part/" + part.m_hash, 0, part.m_text});
+    if (answer.m_status == StoreStatus::kUnavailable) co_return false;
+  }
+  const StoreAnswered answer =
+      co_await m_store.Put({0, kStorePrefix + "manifest/" + ContentHash(manifest_text), 0, manifest_text});
+  co_return answer.m_status != StoreStatus::kUnavailable;
+}
+
+asio::awaitable<PublishResult> ConfigService::Conflict(const ConfigHead& head, std::string base_text) {
+  PublishResult result;
+  result.m_code = ResultCode::kRevisionConflict;
+  result.m_revision = head.m_current.m_revision;
+  StoreSource source(m_store);
+  const auto text = co_await ReadSet(source, head.m_current.m_manifest);
+  if (text && !base_text.empty()) {
+    result.m_differences = DiffObjectSets(ParseObjectSet(base_text).m_set, ParseObjectSet(*text).m_set);
+  }
+  co_return result;
+}
+
+asio::awaitable<PublishResult> ConfigService::Publish(PublishRequest request) {
+  PublishResult result;
+  ParsedObjectSet parsed;
+  try {
+    parsed = ParseObjectSet(request.m_text);
+  } catch (const Error& error) {
+    result.m_code = error.Code();
+    result.m_mistakes.push_back({"", "", error.what(), "JSON, with comments if you like"});
+    co_return result;
+  }
+  if (!parsed.m_mistakes.empty()) {
+    result.m_code = ResultCode::kInvalidObjectSet;
+    result.m_mistakes = std::move(parsed.m_mistakes);
+    co_return result;
+  }
+  const auto parts = PartitionSet(parsed.m_set);
+  Manifest manifest;
+  for (const auto& part : parts) manifest.m_parts.push_back(part.m_hash);
+  const std::string manifest_text = json::serialize(ToJson(manifest));
+  const StoreAnswered found = co_await m_store.Get({0, kStorePrefix + kHeadName});
+  if (found.m_status == StoreStatus::kUnavailable || !co_await StoreParts(parts, manifest_text)) {
+    result.m_code = ResultCode::kStoreUnavailable;
+    co_return result;
+  }
+  ConfigHead head;
+  if (found.m_status == StoreStatus::kOk) head = TryParse<ConfigHead>(found.m_value).value_or(ConfigHead{});
+  ConfigHead next = head;
+  next.m_current = {0, request.m_publish_id, request.m_author, 0, ContentHash(manifest_text)};
+  co_return co_await SwapHead(std::move(request), std::move(next), found.m_version);
+}
+
+asio::awaitable<PublishResult> ConfigService::SwapHead(PublishRequest request, ConfigHead head, std::int64_t) {
+  PublishResult result;
+  const Publication wanted = head.m_current;
+  for (int swap = 0; swap < kMaxSwaps; ++swap) {
+    // Read first: an earlier try may have taken effect although its answer was lost.
+    const StoreAnswered found = co_await m_store.Get({0, kStorePrefix + kHeadName});
+    if (found.m_status == StoreStatus::kUnavailable) continue;
+    const ConfigHead current = TryParse<ConfigHead>(found.m_value).value_or(ConfigHead{});
+    if (HasPublication(current, request.m_publish_id, result.m_revision)) {
+      result.m_code = ResultCode::kOk;
+      co_await LoadFromStore();
+      co_return result;
+    }
+    if (current.m_current.m_revision != request.m_base_revision) {
+      std::string base_text;
+      if (m_head.m_current.m_revision == request.m_base_revision && request.m_base_revision > 0) {
+        StoreSource source(m_store);
+        base_text = (co_await ReadSet(source, m_head.m_current.m_manifest)).value_or("");
+      }
+      co_return co_await Conflict(current, std::move(base_text));
+    }
+    ConfigHead next = current;
+    if (current.m_current.m_revision > 0) next.m_history.insert(next.m_history.begin(), current.m_current);
+    if (next.m_history.size() > kMaxHistory) next.m_history.resize(kMaxHistory);
+    next.m_current = wanted;
+    next.m_current.m_revision = current.m_current.m_revision + 1;
+    next.m_current.m_time_ms =
+        std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.Now().time_since_epoch()).count();
+    co_await m_store.Put({0, kStorePrefix + kHeadName, found.m_version, json::serialize(ToJson(next))});
+  }
+  result.m_code = ResultCode::kStoreUnavailable;
+  result.m_revision = 0;
+  co_return result;
+}
+
+asio::awaitable<PublishResult> ConfigService::Rollback(std::int64_t revision, std::string publish_id,
+                                                       std::string author) {
+  PublishResult result;
+  StoreSource source(m_store);
+  const auto head = TryParse<ConfigHead>(co_await source.Read(kHeadName));
+  if (!head) {
+    result.m_code = ResultCode::kStoreUnavailable;
+    co_return result;
+  }
+  const auto& history = head->m_history;
+  const auto earlier =
+      std::find_if(history.begin(), history.end(), [&](const auto& p) { return p.m_revision == revision; });
+  const auto text = earlier == history.end() ? std::nullopt : co_await ReadSet(source, earlier->m_manifest);
+  if (!text) {
+    result.m_code = ResultCode::kNotFound;
+    co_return result;
+  }
+  co_return co_await Publish({head->m_current.m_revision, std::move(publish_id), std::move(author), *text});
+}
+
+void ConfigService::SetWatching(bool watching) {
+  m_watching = watching;
+  if (!watching) return;
+  if (!std::exchange(m_watch_running, true)) asio::co_spawn(m_executor, WatchLoop(), asio::detached);
+  if (!std::exchange(m_hosts_running, true)) asio::co_spawn(m_executor, HostsLoop(), asio::detached);
+}
+
+asio::awaitable<void> ConfigService::WatchLoop() {
+  while (m_watching) {
+    const StoreAnswered answer = co_await m_store.Watch(kStorePrefix + kHeadName, m_watched_version);
+    if (answer.m_status == StoreStatus::kUnavailable) {
+      co_await Sleep(kStoreRetry);
+      continue;
+    }
+    if (answer.m_status == StoreStatus::kOk && answer.m_version > m_watched_version) {
+      if (co_await LoadFromStore()) m_watched_version = answer.m_version;
+      else co_await Sleep(kStoreRetry);
+    }
+  }
+  m_watch_running = false;
+}
+
+asio::awaitable<void> ConfigService::HostsLoop() {
+  while (m_watching) {
+    HostList list = co_await m_store.Hosts();
+    if (list.m_available) m_sink.Post(HostsListed{list.m_version, std::move(list.m_leaving)});
+    co_await Sleep(kHostsPeriod);
+  }
+  m_hosts_running = false;
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/dispatch_handler.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+
+#include "fescueramp/core/clock.h"
+#include "fescueramp/daemon/event_sink.h"
+#include "fescueramp/daemon/node_metrics.h"
+#include "fescueramp/journal/journal.h"
+#include "fescueramp/net/endpoint_pool.h"
+#include "fescueramp/net/link_pool.h"
+#include "fescueramp/net/replay_body.h"
+#include "fescueramp/node/effects.h"
+
+namespace fescueramp {
+
+/// Carries requests that other nodes passed here to endpoints, or on to the owner of their service.
+class DispatchHandler {
+ public:
+  /// What the handler works with; all outlive it.
+  struct Context {
+    asio::any_io_executor m_executor;
+    const Clock* m_clock = nullptr;
+    EventSink* m_sink = nullptr;
+    LinkPool* m_links = nullptr;
+    EndpointPool* m_endpoints = nullptr;
+    NodeMetrics* m_metrics = nullptr;
+    Journal* m_journal = nullptr;
+    const std::vector<std::string>* m_link_keys = nullptr;
+    bool m_record_decisions = true;  ///< Whether answers carry their decision record.
+  };
+
+  explicit DispatchHandler(Context context) : m_context(std::move(context)) {}
+
+  /// Serves one stream to its end.
+  asio::awaitable<void> Handle(std::shared_ptr<LinkStream> stream);
+
+  void Run(const StartAttempt& effect);
+  void Run(const FinishRequest& effect);
+  void Run(const DeliverAnswer& effect);
+  void Run(const RelayRequest& effect);
+  void Run(const CancelAttempt& effect);
+
+  /// Requests at this dispatcher that have not ended.
+  std::size_t Open() const { return m_calls.size(); }
+
+ private:
+  using Command = std::variant<StartAttempt, FinishRequest, DeliverAnswer, RelayRequest>;
+
+  /// One request at this dispatcher.
+  struct Call {
+    Call(const asio::any_io_executor& executor, std::shared_ptr<LinkStream> its_stream)
+        : m_stream(std::move(its_stream)), m_commanded(executor) {}
+
+    std::shared_ptr<LinkStream> m_stream;
+    std::shared_ptr<ReplayBody> m_body;
+    DispatchRequest m_request;
+    RequestHead m_head;
+    std::deque<Command> m_commands;
+    Signal m_commanded;
+    std::shared_ptr<EndpointConnection> m_connection;  ///< Of the running attempt.
+    bool m_cancelled = false;
+    AnswerHead m_answer;      ///< Of the last attempt.
+    std::string m_answer_body;
+    bool m_answer_started = false;
+    bool m_answer_whole = false;
+    std::string m_record;
+  };
+
+  template <typename T>
+  void Enqueue(const std::string& request_id, const T& effect);
+  asio::awaitable<void> Serve(std::shared_ptr<Call> call);
+  asio::awaitable<AttemptResult> RunAttempt(std::shared_ptr<Call> call, StartAttempt effect);
+  asio::awaitable<void> Exchange(std::shared_ptr<Call> call, const StartAttempt& effect, AttemptResult& result);
+  asio::awaitable<void> SendRequest(std::shared_ptr<Call> call, const StartAttempt& effect);
+  asio::awaitable<void> ReadAnswer(std::shared_ptr<Call> call, const StartAttempt& effect, AttemptResult& result);
+  std::chrono::milliseconds TimeLeft(const StartAttempt& effect) const;
+  asio::awaitable<void> Deliver(std::shared_ptr<Call> call);
+  void SendAnswerHead(Call& call, AnswerHead head);
+  asio::awaitable<bool> Relay(std::shared_ptr<Call> call, RelayRequest effect);
+  static asio::awaitable<void> RelayBody(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> to);
+
+  Context m_context;
+  std::map<std::string, std::shared_ptr<Call>> m_calls;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/entry_handler.cc
@@ -0,0 +1,282 @@
+#include "fescueramp/daemon/entry_handler.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <iomanip>
+#include <sstream>
+
+#include "fescueramp/daemon/wire.h"
+#include "fescueramp/journal/receipt.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr std::size_t kMaxHeldAnswer = 256 * 1024;                  ///< Bytes of an answer held until it is whole.
+constexpr Duration kDeadlineGrace = std::chrono::milliseconds(500);  ///< Time for the dispatcher's own last answer.
+
+RequestHead CleanHead(const RequestHead& head) {
+  RequestHead clean{head.m_method, head.m_target, {}, head.m_content_length};
+  // Fields that the caller's own Connection field names are hop-by-hop too.
+  const std::string named = ToLower(FindHeader(head.m_headers, "connection"));
+  for (const auto& header : head.m_headers) {
+    const bool is_named = !named.empty() && named.find(ToLower(header.m_name)) != std::string::npos;
+    if (!IsStrippedHeader(header.m_name) && !is_named) clean.m_headers.push_back(header);
+  }
+  return clean;
+}
+
+std::string KeyHash(const RequestHead& head) {
+  std::string_view key = FindHeader(head.m_headers, "x-api-key");
+  return key.empty() ? std::string() : Sha256Hex(key);
+}
+
+}  // namespace
+
+EntryHandler::Call::Call(const asio::any_io_executor& executor, std::shared_ptr<HttpExchange> its_exchange)
+    : m_exchange(std::move(its_exchange)), m_commanded(executor) {}
+
+EntryHandler::EntryHandler(Context context) : m_context(std::move(context)) {
+  // Ids of an earlier run of this node must not come again.
+  m_next_id = static_cast<std::uint64_t>(m_context.m_clock->Now().time_since_epoch().count());
+}
+
+std::string EntryHandler::NextId() {
+  std::ostringstream id;
+  id << m_context.m_node << '-' << std::hex << m_next_id++;
+  return id.str();
+}
+
+void EntryHandler::Run(const ForwardRequest& effect) {
+  const auto call = m_calls.find(effect.m_request_id);
+  if (call == m_calls.end()) return;
+  call->second->m_commands.emplace_back(effect);
+  call->second->m_commanded.Notify();
+}
+
+void EntryHandler::Run(const RefuseRequest& effect) {
+  const auto call = m_calls.find(effect.m_request_id);
+  if (call == m_calls.end()) return;
+  call->second->m_commands.emplace_back(effect);
+  call->second->m_commanded.Notify();
+}
+
+asio::awaitable<void> EntryHandler::Handle(std::shared_ptr<HttpExchange> exchange) {
+  const auto call = std::make_shared<Call>(m_context.m_executor, exchange);
+  call->m_id = NextId();
+  call->m_received = m_context.m_clock->Now();
+  m_calls[call->m_id] = call;
+  const RequestHead& head = exchange->Head();
+  m_context.m_sink->Post(RequestReceived{call->m_id, head.m_method, head.m_target, KeyHash(head),
+                                         std::string(FindHeader(head.m_headers, "idempotency-key")),
+                                         std::max<std::int64_t>(0, head.m_content_length)});
+  bool caller_left = false;
+  try {
+    co_await Serve(call);
+  } catch (const std::exception&) {
+    caller_left = true;
+  }
+  if (caller_left) {
+    if (call->m_stream) call->m_stream->Reset();
+    m_context.m_metrics->AddAnswer("CALLER_LEFT");
+    m_context.m_sink->Post(ForwardEnded{call->m_id, {}, ForwardOutcome::kCallerLeft, false});
+    exchange->Abort();
+  }
+  m_context.m_metrics->AddLatency(call->m_class_name, call->m_group, m_context.m_clock->Now() - call->m_received);
+  m_calls.erase(call->m_id);
+}
+
+void EntryHandler::StartBody(const std::shared_ptr<Call>& call, std::int64_t max_bytes) {
+  call->m_body = std::make_shared<ReplayBody>(m_context.m_executor, max_bytes);
+  const auto watch = [weak = std::weak_ptr(call)] {
+    const auto self = weak.lock();
+    if (!self) return;
+    self->m_exchange->WatchForClose([weak] {
+      if (const auto left = weak.lock()) {
+        left->m_caller_left = true;
+        if (left->m_stream) left->m_stream->Reset();
+      }
+    });
+  };
+  if (call->m_exchange->Head().m_content_length == 0) {
+    call->m_body->SetEmpty();
+    return watch();
+  }
+  call->m_body->Start([exchange = call->m_exchange] { return exchange->ReadBody(); }, watch);
+}
+
+asio::awaitable<void> EntryHandler::Serve(std::shared_ptr<Call> call) {
+  while (true) {
+    while (call->m_commands.empty()) co_await call->m_commanded.Wait();
+    const Command command = std::move(call->m_commands.front());
+    call->m_commands.pop_front();
+    if (const auto* refuse = std::get_if<RefuseRequest>(&command)) {
+      co_await SendResult(call, static_cast<ResultCode>(refuse->m_code), refuse->m_retry_after_ms, 0, {});
+      co_return;
+    }
+    const auto& forward = std::get<ForwardRequest>(command);
+    call->m_class_name = forward.m_request.m_class_name;
+    call->m_group = forward.m_group;
+    if (!call->m_body) StartBody(call, forward.m_max_body_bytes);
+    const ForwardOutcome outcome = co_await Forward(call, forward);
+    const bool too_long = call->m_body->TooLong();
+    const bool over = outcome == ForwardOutcome::kAnswered || outcome == ForwardOutcome::kCallerLeft || too_long;
+    const ForwardOutcome told = too_long ? ForwardOutcome::kCallerLeft : outcome;
+    m_context.m_sink->Post(ForwardEnded{call->m_id, forward.m_node, told, call->m_body->Replayable()});
+    if (too_long) co_await SendResult(call, ResultCode::kBodyTooLarge, 0, 0, {});
+    else if (outcome == ForwardOutcome::kCallerLeft) call->m_exchange->Abort();
+    if (over) co_return;
+  }
+}
+
+asio::awaitable<void> EntryHandler::SendBody(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream) {
+  std::size_t cursor = 0;
+  try {
+    while (true) {
+      std::string part = co_await call->m_body->Read(cursor);
+      if (part.empty()) break;
+      co_await stream->Write(std::move(part));
+    }
+    stream->Finish();
+  } catch (const std::exception&) {
+    // Either the stream is gone, which its reader sees, or the body is: then the dispatcher must not wait for it.
+    const bool body_failed = call->m_body->Failed() || call->m_body->TooLong();
+    if (body_failed) call->m_caller_left = !call->m_body->TooLong();
+    if (body_failed) stream->Reset();
+  }
+}
+
+asio::awaitable<void> EntryHandler::Watch(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream,
+                                          Duration left) {
+  // Woken early by nothing: a call that ended leaves a stream that ignores the reset.
+  const std::weak_ptr<Call> weak_call = call;
+  const std::weak_ptr<LinkStream> weak_stream = stream;
+  call.reset();
+  stream.reset();
+  co_await Sleep(left);
+  const auto late_stream = weak_stream.lock();
+  const auto late_call = weak_call.lock();
+  if (!late_stream || !late_call || late_call->m_stream != late_stream) co_return;
+  late_call->m_timed_out = true;
+  late_stream->Reset();
+}
+
+asio::awaitable<ForwardOutcome> EntryHandler::Forward(std::shared_ptr<Call> call, ForwardRequest effect) {
+  if (call->m_caller_left) co_return ForwardOutcome::kCallerLeft;
+  std::shared_ptr<LinkStream> stream;
+  try {
+    const auto link = co_await m_context.m_links->Get(effect.m_address, static_cast<std::uint16_t>(effect.m_port));
+    const HeaderField dispatch = wire::JsonField(wire::kDispatchField, effect.m_request);
+    const std::string auth = wire::AuthCode(m_context.m_link_keys->front(), dispatch.m_value);
+    stream = link->Open(wire::kDispatchPath,
+                        {dispatch, wire::JsonField(wire::kHeadField, CleanHead(call->m_exchange->Head())),
+                         {wire::kHopsField, "0"}, {wire::kAuthField, auth}},
+                        true);
+  } catch (const LinkError&) {
+    co_return ForwardOutcome::kConnectFailed;
+  }
+  call->m_stream = stream;
+  const Duration left = effect.m_request.m_deadline + kDeadlineGrace - m_context.m_clock->Now();
+  asio::co_spawn(m_context.m_executor, SendBody(call, stream), asio::detached);
+  asio::co_spawn(m_context.m_executor, Watch(call, stream, left), asio::detached);
+  ForwardOutcome outcome = ForwardOutcome::kLinkLost;
+  bool answer_started = false;
+  try {
+    outcome = co_await RelayAnswer(call, stream, &answer_started);
+  } catch (const LinkError&) {
+    outcome = call->m_timed_out ? ForwardOutcome::kTimedOut : ForwardOutcome::kLinkLost;
+    if (call->m_caller_left) outcome = ForwardOutcome::kCallerLeft;
+  }
+  if (answer_started && outcome != ForwardOutcome::kAnswered) {
+    // The caller has part of an answer: it must see that the answer broke off.
+    m_context.m_metrics->AddAnswer("BROKEN_OFF");
+    call->m_exchange->Abort();
+    outcome = ForwardOutcome::kAnswered;
+  }
+  // What is left of the body is not wanted any more.
+  stream->Reset();
+  call->m_stream.reset();
+  co_return outcome;
+}
+
+asio::awaitable<ForwardOutcome> EntryHandler::RelayAnswer(std::shared_ptr<Call> call,
+                                                          std::shared_ptr<LinkStream> stream, bool* answer_started) {
+  co_await stream->WaitHeaders();
+  AnswerHead head;
+  try {
+    head = wire::FromField<AnswerHead>(stream->Headers(), wire::kAnswerField);
+  } catch (const Error&) {
+    throw LinkError("malformed answer from a dispatcher");
+  }
+  const auto code = static_cast<ResultCode>(head.m_code);
+  if (code == ResultCode::kNotReady) co_return ForwardOutcome::kHandedBack;
+  std::vector<HeaderField> headers = AnswerHeaders(*call, head);
+  if (code != ResultCode::kOk) {
+    *answer_started = true;
+    co_await SendResult(call, code, head.m_retry_after_ms, head.m_recorded_status, std::move(headers));
+    co_return ForwardOutcome::kAnswered;
+  }
+  // A short answer goes out only when it is whole; a long one as it comes.
+  std::string body;
+  bool whole = false;
+  while (!whole && body.size() <= kMaxHeldAnswer) {
+    std::string part = co_await stream->Read();
+    whole = part.empty();
+    body += part;
+  }
+  *answer_started = true;
+  m_context.m_metrics->AddAnswer("OK");
+  if (whole) {
+    co_await call->m_exchange->Send(head.m_status, std::move(headers), std::move(body));
+    co_return ForwardOutcome::kAnswered;
+  }
+  co_await call->m_exchange->Begin(head.m_status, std::move(headers), head.m_content_length);
+  while (!body.empty()) {
+    co_await call->m_exchange->Write(std::move(body));
+    body = co_await stream->Read();
+  }
+  co_await call->m_exchange->End();
+  co_return ForwardOutcome::kAnswered;
+}
+
+std::vector<HeaderField> EntryHandler::AnswerHeaders(const Call& call, const AnswerHead& head) {
+  std::vector<HeaderField> headers;
+  for (const auto& header : head.m_headers) {
+    if (!IsStrippedHeader(header.m_name)) headers.push_back(header);
+  }
+  headers.push_back({"Fescue-Request-Id", call.m_id});
+  headers.push_back({"Fescue-Code", std::to_string(head.m_code)});
+  if (head.m_record.empty()) return headers;
+  try {
+    auto record = FromJson<DecisionRecord>(ParseJson(head.m_record));
+    headers.push_back({"Fescue-Receipt", MakeReceipt(record, m_context.m_receipt_keys->front())});
+    m_context.m_journal->Add(std::move(record));
+  } catch (const Error&) {
+    // An answer without a readable record is still the caller's answer.
+    m_context.m_metrics->AddAnswer("RECORD_UNREADABLE");
+  }
+  return headers;
+}
+
+asio::awaitable<void> EntryHandler::SendResult(std::shared_ptr<Call> call, ResultCode code,
+                                               std::int64_t retry_after_ms, std::int64_t recorded_status,
+                                               std::vector<HeaderField> headers) {
+  const ResultInfo& info = Info(code);
+  if (headers.empty()) {
+    headers.push_back({"Fescue-Request-Id", call->m_id});
+    headers.push_back({"Fescue-Code", std::to_string(static_cast<int>(code))});
+  }
+  headers.push_back({"Content-Type", "application/json"});
+  if (recorded_status > 0) headers.push_back({"Fescue-Recorded-Status", std::to_string(recorded_status)});
+  if (retry_after_ms > 0) {
+    headers.push_back({"Retry-After", std::to_string((retry_after_ms + 999) / 1000)});
+    headers.push_back({"Fescue-Retry-After-Ms", std::to_string(retry_after_ms)});
+  }
+  const json::object body{{"code", static_cast<int>(code)},
+                          {"result", info.m_name},
+                          {"text", info.m_text},
+                          {"request_id", call->m_id}};
+  m_context.m_metrics->AddAnswer(std::string(info.m_name));
+  co_await call->m_exchange->Send(info.m_http_status, std::move(headers), json::serialize(body) + "\n");
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/entry_handler.h
@@ -0,0 +1,85 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fescueramp/core/clock.h"
+#include "fescueramp/daemon/event_sink.h"
+#include "fescueramp/daemon/node_metrics.h"
+#include "fescueramp/journal/journal.h"
+#include "fescueramp/net/http_server.h"
+#include "fescueramp/net/link_pool.h"
+#include "fescueramp/net/replay_body.h"
+#include "fescueramp/node/effects.h"
+
+namespace fescueramp {
+
+/// Carries callers' requests to dispatchers and the answers back.
+class EntryHandler {
+ public:
+  /// What the handler works with; all outlive it.
+  struct Context {
+    asio::any_io_executor m_executor;
+    const Clock* m_clock = nullptr;
+    EventSink* m_sink = nullptr;
+    LinkPool* m_links = nullptr;
+    NodeMetrics* m_metrics = nullptr;
+    Journal* m_journal = nullptr;
+    std::string m_node;
+    const std::vector<std::string>* m_link_keys = nullptr;
+    const std::vector<std::string>* m_receipt_keys = nullptr;
+  };
+
+  explicit EntryHandler(Context context);
+
+  /// Serves one request of a caller to its end.
+  asio::awaitable<void> Handle(std::shared_ptr<HttpExchange> exchange);
+
+  void Run(const ForwardRequest& effect);
+  void Run(const RefuseRequest& effect);
+
+  /// Requests of callers that have no whole answer yet.
+  std::size_t Open() const { return m_calls.size(); }
+
+ private:
+  using Command = std::variant<ForwardRequest, RefuseRequest>;
+
+  /// One request of a caller.
+  struct Call {
+    Call(const asio::any_io_executor& executor, std::shared_ptr<HttpExchange> its_exchange);
+
+    std::shared_ptr<HttpExchange> m_exchange;
+    std::shared_ptr<ReplayBody> m_body;
+    std::string m_id;
+    Instant m_received{};
+    std::string m_class_name = "none";
+    std::string m_group = "none";
+    std::deque<Command> m_commands;
+    Signal m_commanded;
+    std::shared_ptr<LinkStream> m_stream;
+    bool m_caller_left = false;
+    bool m_timed_out = false;
+  };
+
+  std::string NextId();
+  void StartBody(const std::shared_ptr<Call>& call, std::int64_t max_bytes);
+  asio::awaitable<void> Serve(std::shared_ptr<Call> call);
+  asio::awaitable<ForwardOutcome> Forward(std::shared_ptr<Call> call, ForwardRequest effect);
+  asio::awaitable<ForwardOutcome> RelayAnswer(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream,
+                                              bool* answer_started);
+  static asio::awaitable<void> SendBody(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream);
+  static asio::awaitable<void> Watch(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream, Duration left);
+  asio::awaitable<void> SendResult(std::shared_ptr<Call> call, ResultCode code, std::int64_t retry_after_ms,
+                                   std::int64_t recorded_status, std::vector<HeaderField> headers);
+  std::vector<HeaderField> AnswerHeaders(const Call& call, const AnswerHead& head);
+
+  Context m_context;
+  std::map<std::string, std::shared_ptr<Call>> m_calls;
+  std::uint64_t m_next_id = 0;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/node_metrics.h
@@ -0,0 +1,52 @@
+#pragma once
+
+#include <prometheus/counter.h>
+#include <prometheus/family.h>
+#include <prometheus/gauge.h>
+#include <prometheus/histogram.h>
+#include <prometheus/registry.h>
+
+#include <memory>
+#include <set>
+#include <string>
+
+#include "fescueramp/core/time.h"
+
+namespace fescueramp {
+
+/// Metrics of one node. The sets of labels are bounded: names beyond the bound count as "other".
+class NodeMetrics {
+ public:
+  NodeMetrics();
+
+  void AddAnswer(const std::string& result);
+  void AddLatency(const std::string& class_name, const std::string& group, Duration latency);
+  void AddQueueWait(const std::string& class_name, Duration wait);
+  void AddAttempt(const std::string& outcome);
+  void AddHealthChange(const std::string& service, const std::string& state);
+  void AddMemberChange(const std::string& state);
+  void SetRevision(std::int64_t revision);
+
+  /// Sets a gauge by its name, as for queue lengths and calls of the store.
+  void SetGauge(const std::string& name, double value);
+
+  /// All metrics as Prometheus text.
+  std::string Text() const;
+
+ private:
+  const std::string& Bounded(std::set<std::string>& known, const std::string& name);
+
+  prometheus::Registry m_registry;
+  prometheus::Family<prometheus::Counter>& m_answers;
+  prometheus::Family<prometheus::Histogram>& m_latency;
+  prometheus::Family<prometheus::Histogram>& m_queue_wait;
+  prometheus::Family<prometheus::Counter>& m_attempts;
+  prometheus::Family<prometheus::Counter>& m_health;
+  prometheus::Family<prometheus::Counter>& m_members;
+  prometheus::Family<prometheus::Gauge>& m_gauges;
+  std::set<std::string> m_classes;
+  std::set<std::string> m_groups;
+  std::set<std::string> m_services;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/settings.cc
@@ -0,0 +1,136 @@
+#include "fescueramp/daemon/settings.h"
+
+#include <boost/asio/ip/address.hpp>
+#include <fstream>
+#include <set>
+#include <sstream>
+
+#include "fescueramp/core/hash.h"
+#include "fescueramp/core/json_codec.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr std::int64_t kMaxPort = 65535;
+constexpr std::size_t kMinKeyLength = 16;
+constexpr std::int64_t kMinClaimWindow = 7200;  ///< Twice the longest deadline of a route, seconds.
+
+/// Adds a mistake for every member that the settings do not have.
+void RejectUnknownMembers(const json::object& object, std::vector<Mistake>& mistakes) {
+  std::string accepted;
+  std::set<std::string_view> known;
+  boost::mp11::mp_for_each<json_codec_detail::Members<Settings>>([&](auto member) {
+    const std::string_view key = json_codec_detail::KeyOf(member.name);
+    known.insert(key);
+    accepted += std::string(accepted.empty() ? "" : ", ") + std::string(key);
+  });
+  for (const auto& [key, value] : object) {
+    if (!known.contains(key)) mistakes.push_back({"settings", std::string(key), "unknown setting", accepted});
+  }
+}
+
+/// Reads each member on its own, so that one wrong type does not hide the other mistakes.
+Settings ReadMembers(const json::object& object, std::vector<Mistake>& mistakes) {
+  Settings settings;
+  boost::mp11::mp_for_each<json_codec_detail::Members<Settings>>([&](auto member) {
+    const std::string_view key = json_codec_detail::KeyOf(member.name);
+    const auto* value = object.if_contains(key);
+    if (!value) return;
+    auto& target = settings.*member.pointer;
+    try {
+      target = FromJson<std::decay_t<decltype(target)>>(*value);
+    } catch (const Error& error) {
+      mistakes.push_back({"settings", std::string(key), error.what(), "a value of the documented type"});
+    }
+  });
+  return settings;
+}
+
+void CheckNumber(std::string_view field, std::int64_t value, std::int64_t min, std::int64_t max,
+                 std::vector<Mistake>& mistakes) {
+  if (value >= min && value <= max) return;
+  mistakes.push_back({"settings", std::string(field), "out of range: " + std::to_string(value),
+                      std::to_string(min) + " to " + std::to_string(max)});
+}
+
+void CheckKeys(std::string_view field, const std::vector<std::string>& keys, std::vector<Mistake>& mistakes) {
+  if (keys.empty()) mistakes.push_back({"settings", std::string(field), "empty", "at least one key"});
+  for (const auto& key : keys) {
+    if (key.size() < kMinKeyLength) {
+      mistakes.push_back({"settings", std::string(field), "a key is too short", "at least 16 characters"});
+    }
+  }
+}
+
+void CheckSettings(const Settings& settings, std::vector<Mistake>& mistakes) {
+  const auto bad_char = [](char c) { return !std::isalnum(static_cast<unsigned char>(c)) && c != '-' && c != '_'; };
+  if (settings.m_node.empty() || std::any_of(settings.m_node.begin(), settings.m_node.end(), bad_char)) {
+    mistakes.push_back({"settings", "node", "missing or with other characters", "letters, digits, - and _"});
+  }
+  if (settings.m_zone.empty()) mistakes.push_back({"settings", "zone", "missing", "name of an availability zone"});
+  boost::system::error_code ec;
+  boost::asio::ip::make_address(settings.m_address, ec);
+  if (ec) mistakes.push_back({"settings", "address", "not an IP number", "an IPv4 or IPv6 number"});
+  CheckNumber("caller_port", settings.m_caller_port, 1, kMaxPort, mistakes);
+  CheckNumber("link_port", settings.m_link_port, 1, kMaxPort, mistakes);
+  CheckNumber("gossip_port", settings.m_gossip_port, 1, kMaxPort, mistakes);
+  CheckNumber("admin_port", settings.m_admin_port, 1, kMaxPort, mistakes);
+  CheckNumber("platform.port", settings.m_platform.m_port, 1, kMaxPort, mistakes);
+  CheckNumber("platform.timeout_ms", settings.m_platform.m_timeout_ms, 10, 60'000, mistakes);
+  CheckNumber("claim_groups", settings.m_claim_groups, 1, 4096, mistakes);
+  CheckNumber("claim_window_s", settings.m_claim_window_s, kMinClaimWindow, 864'000, mistakes);
+  CheckNumber("journal_records", settings.m_journal_records, 0, 10'000'000, mistakes);
+  CheckNumber("shutdown_grace_s", settings.m_shutdown_grace_s, 1, 86'400, mistakes);
+  CheckKeys("link_keys", settings.m_link_keys, mistakes);
+  CheckKeys("receipt_keys", settings.m_receipt_keys, mistakes);
+}
+
+}  // namespace
+
+Settings ParseSettings(std::string_view text, std::vector<Mistake>& mistakes) {
+  const json::value root = ParseJson(text, ResultCode::kInvalidSettings);
+  const auto* object = root.if_object();
+  if (!object) throw Error(ResultCode::kInvalidSettings, "the settings are not an object");
+  RejectUnknownMembers(*object, mistakes);
+  Settings settings = ReadMembers(*object, mistakes);
+  CheckSettings(settings, mistakes);
+  return settings;
+}
+
+Settings LoadSettings(const std::string& path) {
+  std::ifstream file(path);
+  if (!file) throw Error(ResultCode::kInvalidSettings, "cannot read " + path);
+  std::stringstream text;
+  text << file.rdbuf();
+  std::vector<Mistake> mistakes;
+  Settings settings = ParseSettings(text.str(), mistakes);
+  if (mistakes.empty()) return settings;
+  std::string list;
+  for (const auto& mistake : mistakes) {
+    list += "\n  " + mistake.m_field + ": " + mistake.m_problem + " (accepted: " + mistake.m_accepted + ")";
+  }
+  throw Error(ResultCode::kInvalidSettings, path + " has mistakes:" + list);
+}
+
+NodeSettings ToNodeSettings(const Settings& settings, Instant now) {
+  NodeSettings node;
+  // A node that restarts has a higher incarnation than before, so what was believed of it is replaced.
+  const auto incarnation = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  const auto advertised = [](std::int64_t port, std::int64_t own) { return port > 0 ? port : own; };
+  node.m_self = {settings.m_node,
+                 MemberState::kAlive,
+                 incarnation,
+                 settings.m_address,
+                 advertised(settings.m_advertised_gossip_port, settings.m_gossip_port),
+                 advertised(settings.m_advertised_link_port, settings.m_link_port),
+                 settings.m_zone,
+                 settings.m_region};
+  node.m_seeds = settings.m_seeds;
+  node.m_policy = settings.m_policy;
+  node.m_claim_groups = settings.m_claim_groups;
+  node.m_claim_window_s = settings.m_claim_window_s;
+  node.m_random_seed = static_cast<std::int64_t>(Hash64(settings.m_node, static_cast<std::uint64_t>(incarnation)) >> 33);
+  return node;
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/settings.h
@@ -0,0 +1,67 @@
+#pragma once
+
+#include <boost/describe.hpp>
+#include <string>
+#include <vector>
+
+#include "fescueramp/config/object_set.h"
+#include "fescueramp/node/node_reducer.h"
+#include "fescueramp/platform/store_client.h"
+
+namespace fescueramp {
+
+/// What an operator's token allows.
+enum class OperatorRole { kRead, kPublish };
+
+template <>
+struct EnumTable<OperatorRole> {
+  static constexpr std::array<std::string_view, 2> kNames = {"read", "publish"};
+};
+
+/// An operator or program that uses the administration API.
+struct OperatorToken {
+  std::string m_name;
+  std::string m_token_sha256;  ///< Hexadecimal.
+  OperatorRole m_role = OperatorRole::kRead;
+};
+BOOST_DESCRIBE_STRUCT(OperatorToken, (), (m_name, m_token_sha256, m_role))
+
+/// Settings of one daemon.
+struct Settings {
+  std::string m_node;                     ///< Name, unique in the fleet.
+  std::string m_region = "default";       ///< Region of the host.
+  std::string m_zone;                     ///< Availability zone of the host.
+  std::string m_address = "127.0.0.1";    ///< IP number that the others reach this host at.
+  std::int64_t m_caller_port = 0;         ///< TCP port for callers.
+  std::int64_t m_link_port = 0;           ///< TCP port for other nodes.
+  std::int64_t m_gossip_port = 0;         ///< UDP port for other nodes.
+  std::int64_t m_admin_port = 0;          ///< TCP port for operators, the balancer and metrics.
+  std::int64_t m_advertised_link_port = 0;    ///< Link port that others use; 0 for the same.
+  std::int64_t m_advertised_gossip_port = 0;  ///< Gossip port that others use; 0 for the same.
+  PlatformSettings m_platform;
+  std::vector<SeedAddress> m_seeds;       ///< Gossip addresses of some other nodes.
+  std::vector<std::string> m_link_keys;   ///< Keys between nodes; the first signs, all are accepted.
+  std::vector<std::string> m_receipt_keys;  ///< Keys of receipts; the first signs, all are accepted.
+  std::vector<OperatorToken> m_operators;
+  PolicyKind m_policy = PolicyKind::kFair;
+  std::int64_t m_claim_groups = 64;       ///< The same on every node.
+  std::int64_t m_claim_window_s = 86400;  ///< Time for which idempotency keys are remembered, seconds.
+  std::int64_t m_journal_records = 8192;  ///< Decision records kept in memory.
+  std::int64_t m_shutdown_grace_s = 60;   ///< Longest wait for requests in flight, seconds.
+  std::string m_trace_file;               ///< File for the event trace; empty for none.
+};
+BOOST_DESCRIBE_STRUCT(Settings, (),
+                      (m_node, m_region, m_zone, m_address, m_caller_port, m_link_port, m_gossip_port, m_admin_port,
+                       m_advertised_link_port, m_advertised_gossip_port, m_platform, m_seeds, m_link_keys, m_receipt_keys, m_operators, m_policy, m_claim_groups,
+                       m_claim_window_s, m_journal_records, m_shutdown_grace_s, m_trace_file))
+
+/// Reads settings from JSON with comments. Mistakes are appended to `mistakes`, all at once.
+Settings ParseSettings(std::string_view text, std::vector<Mistake>& mistakes);
+
+/// Reads and checks a settings file. @throws Error with kInvalidSettings that lists every mistake.
+Settings LoadSettings(const std::string& path);
+
+/// The part of the settings that decisions depend on.
+NodeSettings ToNodeSettings(const Settings& settings, Instant now);
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/shell.cc
@@ -0,0 +1,293 @@
+#include "fescueramp/daemon/shell.h"
+
+#include <glog/logging.h>
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <csignal>
+
+#include "fescueramp/daemon/wire.h"
+
+namespace fescueramp {
+namespace {
+
+using tcp = asio::ip::tcp;
+
+constexpr auto kTickPeriod = std::chrono::milliseconds(20);
+constexpr auto kIdleTickPeriod = std::chrono::milliseconds(100);
+constexpr auto kFirstLoadRetry = std::chrono::seconds(2);
+constexpr auto kIdleConnectionPatience = std::chrono::seconds(3);
+constexpr auto kLeaveNotice = std::chrono::milliseconds(300);  ///< Time for the announced leave to spread.
+
+std::string MalformedBody(const std::string& problem) {
+  const ResultInfo& info = Info(ResultCode::kMalformedRequest);
+  return json::serialize(json::object{{"code", static_cast<int>(info.m_code)},
+                                      {"result", info.m_name},
+                                      {"text", std::string(info.m_text) + " (" + problem + ")"}}) +
+         "\n";
+}
+
+std::uint16_t Port(std::int64_t port) { return static_cast<std::uint16_t>(port); }
+
+}  // namespace
+
+Shell::Shell(asio::io_context& io, Settings settings, std::string settings_path)
+    : m_io(io),
+      m_settings(std::move(settings)),
+      m_settings_path(std::move(settings_path)),
+      m_node_settings(ToNodeSettings(m_settings, m_clock.Now())),
+      m_reducer(m_node_settings),
+      m_journal(static_cast<std::size_t>(m_settings.m_journal_records)),
+      m_links(io.get_executor()),
+      m_endpoints(io.get_executor()),
+      m_store(io.get_executor(), m_settings.m_platform),
+      m_link_acceptor(io),
+      m_signals(io, SIGTERM, SIGINT, SIGHUP) {
+  const auto executor = io.get_executor();
+  if (!m_settings.m_trace_file.empty()) {
+    m_trace_file.open(m_settings.m_trace_file, std::ios::trunc);
+    m_trace.emplace(m_trace_file, m_node_settings);
+  }
+  m_entry = std::make_unique<EntryHandler>(EntryHandler::Context{executor, &m_clock, this, &m_links, &m_metrics,
+                                                                 &m_journal, m_settings.m_node,
+                                                                 &m_settings.m_link_keys, &m_settings.m_receipt_keys});
+  m_dispatch = std::make_unique<DispatchHandler>(DispatchHandler::Context{
+      executor, &m_clock, this, &m_links, &m_endpoints, &m_metrics, &m_journal, &m_settings.m_link_keys,
+      m_settings.m_journal_records > 0});
+  m_config = std::make_unique<ConfigService>(executor, m_clock, *this, m_store, m_links, m_settings.m_link_keys);
+  m_gossip = std::make_unique<GossipSocket>(
+      executor, m_settings.m_address, Port(m_settings.m_gossip_port), m_settings.m_link_keys,
+      [this](const std::string& address, std::int64_t port, GossipMessage message) {
+        Post(GossipReceived{address, port, std::move(message)});
+      });
+  m_admin = std::make_unique<AdminApi>(AdminApi::Context{&m_settings, &m_clock, &m_reducer, m_config.get(), &m_links,
+                                                         &m_store, &m_journal, &m_metrics,
+                                                         [this] { UpdateGauges(); }});
+  HttpServerSettings caller;
+  caller.m_address = m_settings.m_address;
+  caller.m_port = Port(m_settings.m_caller_port);
+  caller.m_malformed_body = MalformedBody;
+  m_caller_server = std::make_unique<HttpServer>(
+      executor, caller, [this](std::shared_ptr<HttpExchange> exchange) { return m_entry->Handle(std::move(exchange)); });
+  HttpServerSettings admin = caller;
+  admin.m_port = Port(m_settings.m_admin_port);
+  m_admin_server = std::make_unique<HttpServer>(
+      executor, admin, [this](std::shared_ptr<HttpExchange> exchange) { return m_admin->Handle(std::move(exchange)); });
+  const tcp::endpoint link_endpoint(asio::ip::make_address(m_settings.m_address), Port(m_settings.m_link_port));
+  m_link_acceptor.open(link_endpoint.protocol());
+  m_link_acceptor.set_option(asio::socket_base::reuse_address(true));
+  m_link_acceptor.bind(link_endpoint);
+  m_link_acceptor.listen(4096);
+  asio::co_spawn(executor, AcceptLinks(), asio::detached);
+  asio::co_spawn(executor, TickLoop(), asio::detached);
+  asio::co_spawn(executor, FirstLoad(), asio::detached);
+  HandleSignals();
+  LOG(INFO) << "node " << m_settings.m_node << " is up, callers on port " << m_settings.m_caller_port;
+}
+
+Shell::~Shell() = default;
+
+void Shell::Post(Event event) {
+  m_events.push_back(std::move(event));
+  if (m_draining_events) return;
+  m_draining_events = true;
+  while (!m_events.empty()) {
+    const Event next = std::move(m_events.front());
+    m_events.pop_front();
+    const Instant now = m_clock.Now();
+    const Effects effects = m_reducer.Reduce(next, now);
+    if (m_trace) m_trace->Write(next, now, effects);
+    for (const auto& effect : effects) {
+      std::visit([&](const auto& item) { RunEffect(item); }, effect);
+    }
+  }
+  m_draining_events = false;
+}
+
+asio::awaitable<void> Shell::TickLoop() {
+  while (true) {
+    bool idle = true;
+    for (const auto& [service, dispatcher] : m_reducer.Dispatchers()) idle = idle && dispatcher->Idle();
+    co_await Sleep(idle ? kIdleTickPeriod : kTickPeriod);
+    Post(Tick{});
+  }
+}
+
+asio::awaitable<void> Shell::FirstLoad() {
+  // Other nodes are asked through gossip; the store is asked as well until one of them has answered.
+  while (m_reducer.Revision() == 0) {
+    co_await m_config->LoadFromStore();
+    if (m_reducer.Revision() == 0) co_await Sleep(kFirstLoadRetry);
+  }
+}
+
+asio::awaitable<void> Shell::AcceptLinks() {
+  while (true) {
+    boost::system::error_code ec;
+    tcp::socket socket = co_await m_link_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == asio::error::operation_aborted) break;
+    if (ec) {
+      co_await Sleep(kTickPeriod);
+      continue;
+    }
+    const auto link = std::make_shared<Link>(std::move(socket), true, [this](std::shared_ptr<LinkStream> stream) {
+      asio::co_spawn(m_io, ServeStream(std::move(stream)), asio::detached);
+    });
+    link->Start();
+  }
+}
+
+asio::awaitable<void> Shell::ServeStream(std::shared_ptr<LinkStream> stream) {
+  const std::string path(FindHeader(stream->Headers(), ":path"));
+  const std::string_view code = FindHeader(stream->Headers(), wire::kAuthField);
+  const bool is_dispatch = path == wire::kDispatchPath;
+  const std::string_view subject =
+      is_dispatch ? FindHeader(stream->Headers(), wire::kDispatchField) : std::string_view(path);
+  if (!wire::CheckAuth(m_settings.m_link_keys, code, subject)) {
+    m_metrics.AddAnswer("LINK_UNAUTHORIZED");
+    stream->Reset();
+    co_return;
+  }
+  if (is_dispatch) {
+    co_await m_dispatch->Handle(std::move(stream));
+    co_return;
+  }
+  std::optional<std::string> text;
+  if (path.starts_with(wire::kConfigPath)) text = m_config->Serve(path.substr(std::string(wire::kConfigPath).size()));
+  if (path.starts_with(wire::kQueryPath)) text = m_admin->AnswerQuery(path.substr(std::string(wire::kQueryPath).size()));
+  try {
+    stream->SendHeaders({{":status", text ? "200" : "404"}});
+    if (text) co_await stream->Write(std::move(*text));
+    stream->Finish();
+  } catch (const LinkError&) {
+    m_metrics.AddAnswer("LINK_LOST");
+  }
+}
+
+void Shell::RunEffect(const ReportHealth& effect) {
+  const HealthChange& change = effect.m_change;
+  m_metrics.AddHealthChange(effect.m_service, std::string(EnumName(change.m_state)));
+  LOG(INFO) << "endpoint " << change.m_endpoint << " of " << effect.m_service << " is " << EnumName(change.m_state)
+            << ": " << change.m_reason << " (evidence: errors " << change.m_error_evidence << ", latency "
+            << change.m_latency_evidence << ")";
+}
+
+void Shell::RunEffect(const SendGossip& effect) {
+  m_gossip->Send(effect.m_address, effect.m_port, effect.m_message);
+}
+
+void Shell::RunEffect(const ReportMember& effect) {
+  m_metrics.AddMemberChange(std::string(EnumName(effect.m_member.m_state)));
+  LOG(INFO) << "member " << effect.m_member.m_node << " is " << EnumName(effect.m_member.m_state) << ", incarnation "
+            << effect.m_member.m_incarnation;
+}
+
+void Shell::RunEffect(const StoreGet& effect) {
+  asio::co_spawn(
+      m_io, [](Shell* self, StoreGet request) -> asio::awaitable<void> {
+        self->Post(co_await self->m_store.Get(std::move(request)));
+      }(this, effect),
+      asio::detached);
+}
+
+void Shell::RunEffect(const StorePut& effect) {
+  asio::co_spawn(
+      m_io, [](Shell* self, StorePut request) -> asio::awaitable<void> {
+        self->Post(co_await self->m_store.Put(std::move(request)));
+      }(this, effect),
+      asio::detached);
+}
+
+void Shell::RunEffect(const StoreDelete& effect) {
+  asio::co_spawn(
+      m_io, [](Shell* self, StoreDelete request) -> asio::awaitable<void> {
+        self->Post(co_await self->m_store.Delete(std::move(request)));
+      }(this, effect),
+      asio::detached);
+}
+
+void Shell::RunEffect(const FetchConfiguration& effect) {
+  asio::co_spawn(
+      m_io, [](Shell* self, FetchConfiguration fetch) -> asio::awaitable<void> {
+        co_await self->m_config->LoadFromNode(fetch.m_address, fetch.m_port);
+      }(this, effect),
+      asio::detached);
+}
+
+void Shell::RunEffect(const ReportConfiguration& effect) {
+  if (effect.m_problem.empty()) {
+    m_metrics.SetRevision(effect.m_revision);
+    LOG(INFO) << "revision " << effect.m_revision << " is in force";
+  } else {
+    LOG(ERROR) << "revision " << effect.m_revision << " is refused: " << effect.m_problem;
+  }
+}
+
+void Shell::RunEffect(const ShutdownComplete&) { asio::co_spawn(m_io, EndSoon(), asio::detached); }
+
+asio::awaitable<void> Shell::EndSoon() {
+  // Callers that reuse a connection are told to close it; those that stay silent are not waited for long.
+  co_await Sleep(kLeaveNotice);
+  m_caller_server->Stop();
+  const Instant patience = m_clock.Now() + kIdleConnectionPatience;
+  while (m_entry->Open() > 0 || m_dispatch->Open() > 0 ||
+         (m_caller_server->Connections() > 0 && m_clock.Now() < patience)) {
+    co_await Sleep(kTickPeriod);
+  }
+  LOG(INFO) << "node " << m_settings.m_node << " has nothing left to do and ends";
+  m_io.stop();
+}
+
+asio::awaitable<void> Shell::Graceful() {
+  // The balancer sees that the node is not ready before the port closes.
+  m_caller_server->Drain();
+  Post(ShutdownRequested{});
+  co_await Sleep(std::chrono::seconds(m_settings.m_shutdown_grace_s));
+  LOG(ERROR) << "node " << m_settings.m_node << " ends with work in flight after its grace time";
+  m_io.stop();
+}
+
+void Shell::Shutdown() {
+  if (std::exchange(m_shutting_down, true)) return;
+  LOG(INFO) << "node " << m_settings.m_node << " is leaving";
+  asio::co_spawn(m_io, Graceful(), asio::detached);
+}
+
+void Shell::HandleSignals() {
+  m_signals.async_wait([this](const boost::system::error_code& ec, int number) {
+    if (ec) return;
+    if (number == SIGHUP) ReloadKeys();
+    else Shutdown();
+    HandleSignals();
+  });
+}
+
+void Shell::ReloadKeys() {
+  try {
+    Settings fresh = LoadSettings(m_settings_path);
+    m_settings.m_link_keys = std::move(fresh.m_link_keys);
+    m_settings.m_receipt_keys = std::move(fresh.m_receipt_keys);
+    m_settings.m_operators = std::move(fresh.m_operators);
+    m_gossip->SetKeys(m_settings.m_link_keys);
+    LOG(INFO) << "keys and operators were read anew";
+  } catch (const Error& error) {
+    LOG(ERROR) << "keys stay as they were: " << error.what();
+  }
+}
+
+void Shell::UpdateGauges() {
+  m_metrics.SetGauge("gossip_bytes_sent", static_cast<double>(m_gossip->BytesSent()));
+  m_metrics.SetGauge("gossip_bytes_received", static_cast<double>(m_gossip->BytesReceived()));
+  m_metrics.SetGauge("gossip_refused", static_cast<double>(m_gossip->Refused()));
+  m_metrics.SetGauge("store_calls", static_cast<double>(m_store.Calls()));
+  m_metrics.SetGauge("store_available", m_store.Available() ? 1 : 0);
+  m_metrics.SetGauge("journal_records", static_cast<double>(m_journal.Size()));
+  m_metrics.SetGauge("caller_connections", static_cast<double>(m_caller_server->Connections()));
+  double queued = 0;
+  for (const auto& [service, dispatcher] : m_reducer.Dispatchers()) {
+    queued += static_cast<double>(dispatcher->Load(m_clock.Now()).m_queued);
+  }
+  m_metrics.SetGauge("queued", queued);
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/daemon/shell.h
@@ -0,0 +1,93 @@
+#pragma once
+
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/signal_set.hpp>
+#include <deque>
+#include <fstream>
+#include <memory>
+#include <optional>
+
+#include "fescueramp/core/clock.h"
+#include "fescueramp/daemon/admin_api.h"
+#include "fescueramp/daemon/config_service.h"
+#include "fescueramp/daemon/dispatch_handler.h"
+#include "fescueramp/daemon/entry_handler.h"
+#include "fescueramp/daemon/event_sink.h"
+#include "fescueramp/daemon/node_metrics.h"
+#include "fescueramp/daemon/settings.h"
+#include "fescueramp/net/gossip_socket.h"
+#include "fescueramp/net/http_server.h"
+#include "fescueramp/node/trace.h"
+
+namespace fescueramp {
+
+/// Everything around the reducer of one node: sockets, timers, metrics and logs. One thread runs it all.
+class Shell final : public EventSink {
+ public:
+  /// Opens every socket. @throws boost::system::system_error when an address can't be used.
+  Shell(asio::io_context& io, Settings settings, std::string settings_path);
+  ~Shell() override;
+
+  void Post(Event event) override;
+
+  /// Begins a graceful shutdown: no new work, the queue handed over, work in flight finished.
+  void Shutdown();
+
+ private:
+  void RunEffect(const ForwardRequest& effect) { m_entry->Run(effect); }
+  void RunEffect(const RefuseRequest& effect) { m_entry->Run(effect); }
+  void RunEffect(const RelayRequest& effect) { m_dispatch->Run(effect); }
+  void RunEffect(const StartAttempt& effect) { m_dispatch->Run(effect); }
+  void RunEffect(const FinishRequest& effect) { m_dispatch->Run(effect); }
+  void RunEffect(const DeliverAnswer& effect) { m_dispatch->Run(effect); }
+  void RunEffect(const CancelAttempt& effect) { m_dispatch->Run(effect); }
+  void RunEffect(const ReportHealth& effect);
+  void RunEffect(const SendGossip& effect);
+  void RunEffect(const ReportMember& effect);
+  void RunEffect(const StoreGet& effect);
+  void RunEffect(const StorePut& effect);
+  void RunEffect(const StoreDelete& effect);
+  void RunEffect(const FetchConfiguration& effect);
+  void RunEffect(const ReportConfiguration& effect);
+  void RunEffect(const SetWatching& effect) { m_config->SetWatching(effect.m_watching); }
+  void RunEffect(const ShutdownComplete& effect);
+
+  asio::awaitable<void> TickLoop();
+  asio::awaitable<void> FirstLoad();
+  asio::awaitable<void> AcceptLinks();
+  asio::awaitable<void> ServeStream(std::shared_ptr<LinkStream> stream);
+  asio::awaitable<void> EndSoon();
+  asio::awaitable<void> Graceful();
+  void HandleSignals();
+  void ReloadKeys();
+  void UpdateGauges();
+
+  asio::io_context& m_io;
+  Settings m_settings;
+  std::string m_settings_path;
+  SteadyWallClock m_clock;
+  NodeSettings m_node_settings;
+  NodeReducer m_reducer;
+  std::ofstream m_trace_file;
+  std::optional<TraceWriter> m_trace;
+  std::deque<Event> m_events;
+  bool m_draining_events = false;
+
+  NodeMetrics m_metrics;
+  Journal m_journal;
+  LinkPool m_links;
+  EndpointPool m_endpoints;
+  StoreClient m_store;
+  std::unique_ptr<EntryHandler> m_entry;
+  std::unique_ptr<DispatchHandler> m_dispatch;
+  std::unique_ptr<ConfigService> m_config;
+  std::unique_ptr<GossipSocket> m_gossip;
+  std::unique_ptr<AdminApi> m_admin;
+  std::unique_ptr<HttpServer> m_caller_server;
+  std::unique_ptr<HttpServer> m_admin_server;
+  asio::ip::tcp::acceptor m_link_acceptor;
+  asio::signal_set m_signals;
+  bool m_shutting_down = false;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include <boost/describe.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fescueramp/core/result_code.h"
+#include "fescueramp/core/time.h"
+#include "fescueramp/health/health_monitor.h"
+#include "fescueramp/journal/decision_record.h"
+
+namespace fescueramp {
+
+/// A request as its dispatcher knows it. The body stays with the sockets.
+struct DispatchRequest {
+  std::string m_request_id;
+  std::string m_entry_node;
+  std::string m_service;
+  std::string m_route;
+  std::string m_class_name;
+  std::string m_account;
+  bool m_repeatable = true;
+  std::uint64_t m_claim_key = 0;    ///< Hash of service, account and idempotency key; 0 when there is none.
+  std::uint64_t m_fingerprint = 0;  ///< Hash of what the request asks; the same when it is sent again.
+  Instant m_deadline{};
+};
+BOOST_DESCRIBE_STRUCT(DispatchRequest, (),
+                      (m_request_id, m_entry_node, m_service, m_route, m_class_name, m_account, m_repeatable,
+                       m_claim_key, m_fingerprint, m_deadline))
+
+/// Orders an attempt of a request on an endpoint.
+struct StartAttempt {
+  static constexpr const char* kType = "start_attempt";
+  std::string m_request_id;
+  std::int64_t m_attempt = 0;  ///< Counts from 1.
+  std::string m_endpoint;
+  std::string m_address;
+  std::int64_t m_port = 0;
+  std::int64_t m_max_connections = 0;
+  Duration m_progress_timeout{};
+  Instant m_deadline{};
+  bool m_fresh_connection = false;  ///< Whether the attempt needs a connection that was not long idle.
+  DecisionRecord m_record;
+};
+BOOST_DESCRIBE_STRUCT(StartAttempt, (),
+                      (m_request_id, m_attempt, m_endpoint, m_address, m_port, m_max_connections, m_progress_timeout,
+                       m_deadline, m_fresh_connection, m_record))
+
+/// Ends a request at its dispatcher without a further attempt.
+struct FinishRequest {
+  static constexpr const char* kType = "finish_request";
+  std::string m_request_id;
+  std::int64_t m_code = 0;          ///< Number of a ResultCode.
+  std::int64_t m_retry_after_ms = 0;
+  std::int64_t m_recorded_status = 0;  ///< HTTP status that earlier work with the key ended with; 0 if not known.
+  DecisionRecord m_record;
+};
+BOOST_DESCRIBE_STRUCT(FinishRequest, (),
+                      (m_request_id, m_code, m_retry_after_ms, m_recorded_status, m_record))
+
+/// Lets the answer of the current attempt go to the caller.
+struct DeliverAnswer {
+  static constexpr const char* kType = "deliver_answer";
+  std::string m_request_id;
+  std::int64_t m_attempt = 0;
+};
+BOOST_DESCRIBE_STRUCT(DeliverAnswer, (), (m_request_id, m_attempt))
+
+/// Gives up a running attempt.
+struct CancelAttempt {
+  static constexpr const char* kType = "cancel_attempt";
+  std::string m_request_id;
+  std::int64_t m_attempt = 0;
+};
+BOOST_DESCRIBE_STRUCT(CancelAttempt, (), (m_request_id, m_attempt))
+
+/// Reports a change of an endpoint's health, for logs and metrics.
+struct ReportHealth {
+  static constexpr const char* kType = "report_health";
+  std::string m_service;
+  HealthChange m_change;
+};
+BOOST_DESCRIBE_STRUCT(ReportHealth, (), (m_service, m_change))
+
+/// How an attempt ended, as the shell saw it.
+struct AttemptResult {
+  std::string m_request_id;
+  std::int64_t m_attempt = 0;
+  AttemptOutcome m_outcome = AttemptOutcome::kAnswered;
+  std::int64_t m_status = 0;        ///< HTTP status of the answer; 0 when there is none.
+  Duration m_latency{};             ///< From the send to the end of the answer.
+  bool m_body_replayable = true;    ///< Whether the request body can be sent again.
+  bool m_answer_started = false;    ///< Whether part of the answer has gone to the caller.
+  bool m_draining = false;          ///< Whether the endpoint said that it is leaving.
+};
+BOOST_DESCRIBE_STRUCT(AttemptResult, (),
+                      (m_request_id, m_attempt, m_outcome, m_status, m_latency, m_body_replayable, m_answer_started,
+                       m_draining))
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/dispatch/suspect_list.cc
@@ -0,0 +1,24 @@
+#include "fescueramp/dispatch/suspect_list.h"
+
+namespace fescueramp {
+
+void SuspectList::AddBreak(std::uint64_t fingerprint, bool alone, Instant now) {
+  if (m_suspects.size() >= kMaxSuspects && !m_suspects.contains(fingerprint)) return;
+  Suspect& suspect = m_suspects[fingerprint];
+  // Copies of one request that break off together count once.
+  if (suspect.m_breaks == 0 || alone) ++suspect.m_breaks;
+  suspect.m_last = now;
+}
+
+void SuspectList::Clear(std::uint64_t fingerprint) { m_suspects.erase(fingerprint); }
+
+bool SuspectList::IsQuarantined(std::uint64_t fingerprint) const {
+  const auto found = m_suspects.find(fingerprint);
+  return found != m_suspects.end() && found->second.m_breaks >= kBreaksToQuarantine;
+}
+
+void SuspectList::Expire(Instant now) {
+  std::erase_if(m_suspects, [&](const auto& item) { return now - item.second.m_last > kMemory; });
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/dispatch/suspect_list.h
@@ -0,0 +1,43 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+
+#include "fescueramp/core/time.h"
+
+namespace fescueramp {
+
+/// Requests that were running when an endpoint broke off, by fingerprint.
+/// A suspect runs alone; a second break quarantines it, and a good answer clears it.
+class SuspectList {
+ public:
+  /// Notes that a request was running when its endpoint broke off.
+  /// @param alone Whether nothing else ran there, which makes it the cause.
+  void AddBreak(std::uint64_t fingerprint, bool alone, Instant now);
+
+  /// Notes that a request was answered.
+  void Clear(std::uint64_t fingerprint);
+
+  /// Whether the request must run alone on an endpoint.
+  bool IsSuspect(std::uint64_t fingerprint) const { return m_suspects.contains(fingerprint); }
+
+  /// Whether the request must be refused.
+  bool IsQuarantined(std::uint64_t fingerprint) const;
+
+  /// Forgets old entries.
+  void Expire(Instant now);
+
+ private:
+  static constexpr int kBreaksToQuarantine = 2;
+  static constexpr std::size_t kMaxSuspects = 4096;
+  static constexpr Duration kMemory = std::chrono::minutes(10);
+
+  struct Suspect {
+    int m_breaks = 0;
+    Instant m_last{};
+  };
+
+  std::map<std::uint64_t, Suspect> m_suspects;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/health/health_monitor.cc
@@ -0,0 +1,193 @@
+#include "fescueramp/health/health_monitor.h"
+
+#include <algorithm>
+#include <cassert>
+#include <cmath>
+
+namespace fescueramp {
+namespace {
+
+constexpr double kHighestErrorRate = 0.95;
+constexpr double kIllToNormalRatio = 8;   ///< An ill endpoint errs at least this many times as often as the others.
+constexpr double kEvidenceShare = 0.25;   ///< Share of the threshold from which an endpoint has evidence.
+constexpr Duration kShortestLatency = std::chrono::microseconds(1);
+
+bool IsError(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kServerError || outcome == AttemptOutcome::kBroken ||
+         outcome == AttemptOutcome::kTimedOut || outcome == AttemptOutcome::kConnectFailed;
+}
+
+/// Outcomes that say nothing about the health of the endpoint.
+bool IsNeutral(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kShed || outcome == AttemptOutcome::kCancelled ||
+         outcome == AttemptOutcome::kSilent;
+}
+
+}  // namespace
+
+void HealthMonitor::Configure(const std::map<std::string, std::int64_t>& slots, double floor) {
+  m_floor = floor;
+  std::erase_if(m_endpoints, [&](const auto& item) { return !slots.contains(item.first); });
+  for (const auto& [name, count] : slots) m_endpoints[name].m_slots = count;
+}
+
+void HealthMonitor::SetInService(const std::string& endpoint, bool in_service) {
+  if (const auto found = m_endpoints.find(endpoint); found != m_endpoints.end()) {
+    found->second.m_in_service = in_service;
+  }
+}
+
+std::int64_t HealthMonitor::SlotsInService() const {
+  std::int64_t slots = 0;
+  for (const auto& [name, record] : m_endpoints) {
+    const bool serves = record.m_state == HealthState::kHealthy || record.m_state == HealthState::kRamping;
+    if (record.m_in_service && serves) slots += record.m_slots;
+  }
+  return slots;
+}
+
+std::int64_t HealthMonitor::FloorSlots() const {
+  double total = 0;
+  for (const auto& [name, record] : m_endpoints) total += static_cast<double>(record.m_slots);
+  return static_cast<std::int64_t>(std::ceil(total * m_floor - 1e-9));
+}
+
+HealthState HealthMonitor::State(const std::string& endpoint) const {
+  const auto found = m_endpoints.find(endpoint);
+  return found == m_endpoints.end() ? HealthState::kEjected : found->second.m_state;
+}
+
+std::int64_t HealthMonitor::UsableSlots(const std::string& endpoint, Instant now) const {
+  const auto found = m_endpoints.find(endpoint);
+  if (found == m_endpoints.end() || !found->second.m_in_service) return 0;
+  const EndpointRecord& record = found->second;
+  switch (record.m_state) {
+    case HealthState::kHealthy:
+      return record.m_slots;
+    case HealthState::kEjected:
+      return 0;
+    case HealthState::kCanary:
+      return 1;
+    case HealthState::kRamping:
+      break;
+  }
+  const double share = ToSeconds(now - record.m_since) / ToSeconds(m_settings.m_ramp);
+  const auto slots = static_cast<std::int64_t>(share * static_cast<double>(record.m_slots));
+  return std::clamp<std::int64_t>(slots, 1, record.m_slots);
+}
+
+std::vector<HealthChange> HealthMonitor::Observe(const std::string& endpoint, const std::string& work,
+                                                 AttemptOutcome outcome, Duration latency, Instant now) {
+  const auto found = m_endpoints.find(endpoint);
+  if (found == m_endpoints.end() || IsNeutral(outcome)) return {};
+  EndpointRecord& record = found->second;
+  const bool error = IsError(outcome);
+  // An ejected endpoint still finishes what it had; that says nothing new.
+  if (record.m_state == HealthState::kEjected) return {};
+  AddErrorEvidence(record, error);
+  bool slow = false;
+  if (!error) slow = AddLatencyEvidence(record, work, static_cast<double>(std::max(latency, kShortestLatency).count()));
+  if (record.m_state == HealthState::kCanary) return JudgeCanary(endpoint, record, !error && !slow, now);
+  return Judge(endpoint, record, now);
+}
+
+void HealthMonitor::AddErrorEvidence(EndpointRecord& record, bool error) {
+  const double normal = std::max(m_settings.m_min_error_rate, PooledErrorRate(record));
+  const double ill = std::min(kHighestErrorRate, std::max(m_settings.m_ill_error_rate, normal * kIllToNormalRatio));
+  // When the others fail nearly as often, errors tell nothing about this endpoint.
+  if (normal < ill) record.m_errors.Add(error, normal, ill);
+  record.m_error_rate.Add(error ? 1 : 0);
+}
+
+bool HealthMonitor::AddLatencyEvidence(EndpointRecord& record, const std::string& work, double latency) {
+  auto& baseline = m_baselines.try_emplace(work, Baseline{QuantileTracker(m_settings.m_slow_quantile)}).first->second;
+  const bool slow = baseline.m_slow.Count() >= m_settings.m_min_baseline && latency > baseline.m_slow.Value();
+  if (baseline.m_slow.Count() >= m_settings.m_min_baseline) {
+    record.m_latency.Add(slow, 1 - m_settings.m_slow_quantile, m_settings.m_ill_slow_rate);
+  }
+  baseline.m_slow.Add(latency);
+  baseline.m_mean.Add(latency);
+  return slow && latency > 2 * baseline.m_slow.Value();
+}
+
+double HealthMonitor::PooledErrorRate(const EndpointRecord& except) const {
+  double sum = 0;
+  double count = 0;
+  for (const auto& [name, record] : m_endpoints) {
+    if (&record == &except || record.m_state == HealthState::kEjected) continue;
+    sum += record.m_error_rate.Value();
+    ++count;
+  }
+  return count > 0 ? sum / count : 0;
+}
+
+bool HealthMonitor::CauseIsShared() const {
+  double suspicious = 0;
+  double serving = 0;
+  for (const auto& [name, record] : m_endpoints) {
+    if (record.m_state == HealthState::kEjected || !record.m_in_service) continue;
+    const double evidence = std::max(record.m_errors.Sum(), record.m_latency.Sum());
+    suspicious += evidence >= m_settings.m_threshold * kEvidenceShare ? 1 : 0;
+    ++serving;
+  }
+  return serving > 1 && suspicious >= std::max(2.0, serving * m_settings.m_shared_share);
+}
+
+bool HealthMonitor::MayEject(const EndpointRecord& record) const {
+  const bool serves = record.m_state == HealthState::kHealthy || record.m_state == HealthState::kRamping;
+  const std::int64_t leaving = record.m_in_service && serves ? record.m_slots : 0;
+  return leaving == 0 || SlotsInService() - leaving >= FloorSlots();
+}
+
+HealthChange HealthMonitor::Move(const std::string& name, EndpointRecord& record, HealthState state, Instant now) {
+  record.m_state = state;
+  record.m_since = now;
+  HealthChange change{name, state, record.m_reason, record.m_errors.Sum(), record.m_latency.Sum()};
+  record.m_errors.Reset();
+  record.m_latency.Reset();
+  return change;
+}
+
+HealthChange HealthMonitor::Eject(const std::string& name, EndpointRecord& record, std::string reason, Instant now) {
+  assert(MayEject(record));
+  if (now - record.m_since > m_settings.m_forget) record.m_ejections = 0;
+  // Each ejection that follows soon doubles the stay, so flapping endpoints stay out longer.
+  record.m_stay = std::min(m_settings.m_longest_stay, m_settings.m_first_stay * (1 << std::min<std::int64_t>(record.m_ejections, 8)));
+  ++record.m_ejections;
+  record.m_canary_successes = 0;
+  record.m_reason = std::move(reason);
+  record.m_error_rate = MovingAverage(0.02);
+  return Move(name, record, HealthState::kEjected, now);
+}
+
+std::vector<HealthChange> HealthMonitor::Judge(const std::string& name, EndpointRecord& record, Instant now) {
+  const bool failing = record.m_errors.Sum() >= m_settings.m_threshold;
+  const bool slow = record.m_latency.Sum() >= m_settings.m_threshold;
+  if (!failing && !slow) return {};
+  if (CauseIsShared() || !MayEject(record)) return {};
+  return {Eject(name, record, failing ? "fails real work" : "slow at real work", now)};
+}
+
+std::vector<HealthChange> HealthMonitor::JudgeCanary(const std::string& name, EndpointRecord& record, bool good,
+                                                     Instant now) {
+  if (!good) return {Eject(name, record, "failed a canary request", now)};
+  if (++record.m_canary_successes < m_settings.m_canary_successes) return {};
+  record.m_reason = "canary requests succeeded";
+  return {Move(name, record, HealthState::kRamping, now)};
+}
+
+std::vector<HealthChange> HealthMonitor::Tick(Instant now) {
+  std::vector<HealthChange> changes;
+  for (auto& [name, record] : m_endpoints) {
+    if (record.m_state == HealthState::kEjected && now - record.m_since >= record.m_stay) {
+      record.m_reason = "stay is over";
+      changes.push_back(Move(name, record, HealthState::kCanary, now));
+    } else if (record.m_state == HealthState::kRamping && now - record.m_since >= m_settings.m_ramp) {
+      record.m_reason = "ramp is over";
+      changes.push_back(Move(name, record, HealthState::kHealthy, now));
+    }
+  }
+  return changes;
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/journal/journal.cc
@@ -0,0 +1,35 @@
+#include "fescueramp/journal/journal.h"
+
+#include <algorithm>
+#include <utility>
+
+namespace fescueramp {
+namespace {
+
+/// Id at the entry host: without the number of the forward.
+std::string BaseId(const std::string& request_id) { return request_id.substr(0, request_id.find('.')); }
+
+}  // namespace
+
+void Journal::Add(DecisionRecord record) {
+  const std::string id = BaseId(record.m_request_id);
+  auto& records = m_records[id];
+  const auto same = [&](const DecisionRecord& other) {
+    return other.m_dispatcher == record.m_dispatcher && other.m_sequence == record.m_sequence;
+  };
+  if (std::any_of(records.begin(), records.end(), same)) return;
+  records.push_back(std::move(record));
+  m_order.push_back(id);
+  if (m_order.size() <= m_capacity) return;
+  const auto oldest = m_records.find(m_order.front());
+  oldest->second.erase(oldest->second.begin());
+  if (oldest->second.empty()) m_records.erase(oldest);
+  m_order.pop_front();
+}
+
+std::vector<DecisionRecord> Journal::Find(const std::string& request_id) const {
+  const auto found = m_records.find(BaseId(request_id));
+  return found == m_records.end() ? std::vector<DecisionRecord>() : found->second;
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/journal/receipt.cc
@@ -0,0 +1,57 @@
+#include "fescueramp/journal/receipt.h"
+
+#include <boost/algorithm/string.hpp>
+
+#include "fescueramp/core/hash.h"
+#include "fescueramp/core/json_codec.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr std::size_t kCodeDigits = 32;
+constexpr std::size_t kFields = 10;  ///< Version and nine facts.
+
+std::int64_t Micros(Instant instant) { return instant.time_since_epoch().count(); }
+
+}  // namespace
+
+std::string MakeReceipt(const DecisionRecord& record, std::string_view key) {
+  const std::vector<std::string> fields = {"v1",
+                                           record.m_request_id,
+                                           record.m_dispatcher,
+                                           std::to_string(record.m_sequence),
+                                           std::to_string(record.m_revision),
+                                           std::to_string(Micros(record.m_arrival)),
+                                           std::to_string(Micros(record.m_decided)),
+                                           record.m_class_name,
+                                           std::string(EnumName(record.m_rule)),
+                                           record.m_endpoint};
+  const std::string text = boost::algorithm::join(fields, ";");
+  return text + ";" + HmacHex(key, text, kCodeDigits);
+}
+
+std::optional<Receipt> VerifyReceipt(std::string_view text, const std::vector<std::string>& keys) {
+  const std::size_t cut = text.rfind(';');
+  if (cut == std::string_view::npos) return std::nullopt;
+  const std::string_view facts = text.substr(0, cut);
+  const bool authentic = std::any_of(keys.begin(), keys.end(), [&](const std::string& key) {
+    return EqualInConstantTime(text.substr(cut + 1), HmacHex(key, facts, kCodeDigits));
+  });
+  if (!authentic) return std::nullopt;
+  std::vector<std::string> fields;
+  boost::algorithm::split(fields, facts, [](char c) { return c == ';'; });
+  if (fields.size() != kFields || fields[0] != "v1") return std::nullopt;
+  Receipt receipt;
+  receipt.m_request_id = fields[1];
+  receipt.m_dispatcher = fields[2];
+  receipt.m_sequence = std::stoll(fields[3]);
+  receipt.m_revision = std::stoll(fields[4]);
+  receipt.m_arrival = Instant(Duration(std::stoll(fields[5])));
+  receipt.m_decided = Instant(Duration(std::stoll(fields[6])));
+  receipt.m_class_name = fields[7];
+  receipt.m_rule = EnumFromName<OrderRule>(fields[8]).value_or(OrderRule::kArrival);
+  receipt.m_endpoint = fields[9];
+  return receipt;
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/membership/gossip_codec.cc
@@ -0,0 +1,82 @@
+#include "fescueramp/membership/gossip_codec.h"
+
+#include <algorithm>
+
+#include "fescueramp/core/hash.h"
+#include "fescueramp/core/json_codec.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr std::size_t kCodeDigits = 32;  ///< Hexadecimal digits of the code: 128 bits.
+
+/// Members travel as arrays, which halves the datagram; the order is fixed.
+json::value MemberToArray(const Member& m) {
+  return json::array{m.m_node,        static_cast<std::int64_t>(m.m_state), m.m_incarnation, m.m_address,
+                     m.m_gossip_port, m.m_link_port,                        m.m_zone,        m.m_region};
+}
+
+Member MemberFromArray(const json::value& value) {
+  const json::array& a = value.as_array();
+  Member m;
+  m.m_node = FromJson<std::string>(a.at(0));
+  const auto state = FromJson<std::int64_t>(a.at(1));
+  if (state < 0 || state > static_cast<std::int64_t>(MemberState::kDead)) {
+    throw Error(ResultCode::kMalformedRequest, "unknown member state");
+  }
+  m.m_state = static_cast<MemberState>(state);
+  m.m_incarnation = FromJson<std::int64_t>(a.at(2));
+  m.m_address = FromJson<std::string>(a.at(3));
+  m.m_gossip_port = FromJson<std::int64_t>(a.at(4));
+  m.m_link_port = FromJson<std::int64_t>(a.at(5));
+  m.m_zone = FromJson<std::string>(a.at(6));
+  m.m_region = FromJson<std::string>(a.at(7));
+  return m;
+}
+
+}  // namespace
+
+std::string EncodeGossip(const GossipMessage& message, std::string_view key) {
+  json::array news;
+  for (const auto& member : message.m_news) news.push_back(MemberToArray(member));
+  json::array body{static_cast<std::int64_t>(message.m_kind), message.m_from, message.m_probe, message.m_target,
+                   message.m_revision, std::move(news)};
+  if (message.m_leaving_version > 0) {
+    body.push_back(message.m_leaving_version);
+    body.push_back(ToJson(message.m_leaving_endpoints));
+  }
+  const std::string text = json::serialize(body);
+  return HmacHex(key, text, kCodeDigits) + text;
+}
+
+std::optional<GossipMessage> DecodeGossip(std::string_view datagram, const std::vector<std::string>& keys) {
+  if (datagram.size() < kCodeDigits) return std::nullopt;
+  const std::string_view code = datagram.substr(0, kCodeDigits);
+  const std::string_view text = datagram.substr(kCodeDigits);
+  const bool authentic = std::any_of(keys.begin(), keys.end(), [&](const std::string& key) {
+    return EqualInConstantTime(code, HmacHex(key, text, kCodeDigits));
+  });
+  if (!authentic) return std::nullopt;
+  try {
+    const json::value value = ParseJson(text);
+    const json::array& body = value.as_array();
+    GossipMessage message;
+    const auto kind = FromJson<std::int64_t>(body.at(0));
+    if (kind < 0 || kind > static_cast<std::int64_t>(GossipKind::kJoin)) return std::nullopt;
+    message.m_kind = static_cast<GossipKind>(kind);
+    message.m_from = FromJson<std::string>(body.at(1));
+    message.m_probe = FromJson<std::int64_t>(body.at(2));
+    message.m_target = FromJson<std::string>(body.at(3));
+    message.m_revision = FromJson<std::int64_t>(body.at(4));
+    for (const auto& item : body.at(5).as_array()) message.m_news.push_back(MemberFromArray(item));
+    if (body.size() > 7) {
+      message.m_leaving_version = FromJson<std::int64_t>(body.at(6));
+      message.m_leaving_endpoints = FromJson<std::vector<std::string>>(body.at(7));
+    }
+    return message;
+  } catch (const std::exception&) {
+    return std::nullopt;
+  }
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/membership/member.h
@@ -0,0 +1,79 @@
+#pragma once
+
+#include <boost/describe.hpp>
+#include <cstdint>
+#include <string>
+#include <vector>
+
+#include "fescueramp/core/enum_table.h"
+#include "fescueramp/core/time.h"
+
+namespace fescueramp {
+
+/// What the fleet believes of a node. Later names win over earlier ones at the same incarnation.
+enum class MemberState { kAlive, kSuspect, kLeaving, kLeft, kDead };
+
+template <>
+struct EnumTable<MemberState> {
+  static constexpr std::array<std::string_view, 5> kNames = {"alive", "suspect", "leaving", "left", "dead"};
+};
+
+/// One node as others know it.
+struct Member {
+  std::string m_node;
+  MemberState m_state = MemberState::kAlive;
+  std::int64_t m_incarnation = 0;  ///< Grows when the node restarts or refutes a suspicion.
+  std::string m_address;           ///< IP number.
+  std::int64_t m_gossip_port = 0;  ///< UDP port.
+  std::int64_t m_link_port = 0;    ///< TCP port for streams between nodes.
+  std::string m_zone;
+  std::string m_region;
+};
+BOOST_DESCRIBE_STRUCT(Member, (),
+                      (m_node, m_state, m_incarnation, m_address, m_gossip_port, m_link_port, m_zone, m_region))
+
+/// Kinds of datagram.
+enum class GossipKind {
+  kPing,
+  kAck,
+  kPingRequest,  ///< Asks the receiver to ping `m_target` on behalf of the sender.
+  kAnnounce,     ///< Carries news only; no answer.
+  kJoin,         ///< Asks for the whole list of members.
+};
+
+template <>
+struct EnumTable<GossipKind> {
+  static constexpr std::array<std::string_view, 5> kNames = {"ping", "ack", "ping_request", "announce", "join"};
+};
+
+/// One datagram between nodes.
+struct GossipMessage {
+  GossipKind m_kind = GossipKind::kPing;
+  std::string m_from;
+  std::int64_t m_probe = 0;      ///< Number of the probe that the message belongs to.
+  std::string m_target;          ///< Node that a ping is meant for; for an ack, the node that is alive.
+  std::int64_t m_revision = 0;   ///< Configuration revision that the sender has in force.
+  std::vector<Member> m_news;
+  std::vector<std::string> m_leaving_endpoints;  ///< Endpoints that the platform lists as leaving.
+  std::int64_t m_leaving_version = 0;            ///< Version of that list.
+};
+BOOST_DESCRIBE_STRUCT(GossipMessage, (),
+                      (m_kind, m_from, m_probe, m_target, m_revision, m_news, m_leaving_endpoints, m_leaving_version))
+
+/// Sends one datagram.
+struct SendGossip {
+  static constexpr const char* kType = "send_gossip";
+  std::string m_address;
+  std::int64_t m_port = 0;
+  GossipMessage m_message;
+};
+BOOST_DESCRIBE_STRUCT(SendGossip, (), (m_address, m_port, m_message))
+
+/// Reports a change of a member's state.
+struct ReportMember {
+  static constexpr const char* kType = "report_member";
+  Member m_member;
+};
+BOOST_DESCRIBE_STRUCT(ReportMember, (), (m_member))
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/net/http_client.cc
@@ -0,0 +1,192 @@
+#include "fescueramp/net/http_client.h"
+
+#include <boost/beast/core.hpp>
+#include <boost/beast/http.hpp>
+#include <optional>
+
+namespace fescueramp {
+namespace {
+
+namespace beast = boost::beast;
+namespace http = beast::http;
+using tcp = asio::ip::tcp;
+
+constexpr std::size_t kBodyChunk = 64 * 1024;
+constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+
+}  // namespace
+
+struct HttpConnection::State {
+  State(const asio::any_io_executor& executor, std::string to_address, std::uint16_t to_port)
+      : m_stream(executor), m_address(std::move(to_address)), m_port(to_port) {}
+
+  beast::tcp_stream m_stream;
+  std::string m_address;
+  std::uint16_t m_port;
+  beast::flat_buffer m_buffer;
+  bool m_connected = false;
+  bool m_sent = false;
+  bool m_timed_out = false;
+  http::request<http::buffer_body> m_request;
+  std::optional<http::request_serializer<http::buffer_body>> m_serializer;
+  std::optional<http::response_parser<http::buffer_body>> m_parser;
+
+  /// Closes the connection and throws.
+  [[noreturn]] void Fail(const std::string& step, const beast::error_code& ec) {
+    m_timed_out = ec == beast::error::timeout;
+    m_connected = false;
+    m_stream.close();
+    throw HttpError(step + " " + m_address + ":" + std::to_string(m_port) + ": " + ec.message(), m_sent);
+  }
+
+  void Prepare(const RequestHead& head) {
+    m_request = {};
+    m_request.version(11);
+    m_request.method_string(head.m_method);
+    m_request.target(head.m_target);
+    for (const auto& header : head.m_headers) m_request.insert(header.m_name, header.m_value);
+    if (m_request.find(http::field::host) == m_request.end()) {
+      m_request.set(http::field::host, m_address + ":" + std::to_string(m_port));
+    }
+    if (head.m_content_length > 0) m_request.content_length(static_cast<std::uint64_t>(head.m_content_length));
+    else if (head.m_content_length < 0) m_request.chunked(true);
+    else if (head.m_method != "GET" && head.m_method != "HEAD") m_request.content_length(0);
+    m_parser.reset();
+    m_sent = false;
+    m_timed_out = false;
+  }
+};
+
+HttpConnection::HttpConnection(const asio::any_io_executor& executor, std::string address, std::uint16_t port)
+    : m_state(std::make_unique<State>(executor, std::move(address), port)) {}
+HttpConnection::~HttpConnection() = default;
+HttpConnection::HttpConnection(HttpConnection&&) noexcept = default;
+HttpConnection& HttpConnection::operator=(HttpConnection&&) noexcept = default;
+
+asio::awaitable<void> HttpConnection::Connect(std::chrono::milliseconds timeout) {
+  State& state = *m_state;
+  if (state.m_connected) co_return;
+  state.m_sent = false;
+  state.m_buffer.clear();
+  beast::error_code ec;
+  const auto address = asio::ip::make_address(state.m_address, ec);
+  if (ec) state.Fail("address", ec);
+  state.m_stream.expires_after(timeout);
+  co_await state.m_stream.async_connect(tcp::endpoint(address, state.m_port),
+                                        asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) state.Fail("connect", ec);
+  state.m_stream.socket().set_option(tcp::no_delay(true), ec);
+  state.m_connected = true;
+}
+
+asio::awaitable<void> HttpConnection::SendHead(RequestHead head, std::chrono::milliseconds timeout) {
+  State& state = *m_state;
+  state.Prepare(head);
+  state.m_request.body().data = nullptr;
+  state.m_request.body().more = head.m_content_length != 0;
+  state.m_serializer.emplace(state.m_request);
+  state.m_stream.expires_after(timeout);
+  state.m_sent = true;
+  beast::error_code ec;
+  co_await http::async_write_header(state.m_stream, *state.m_serializer,
+                                    asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) state.Fail("send", ec);
+}
+
+asio::awaitable<void> HttpConnection::SendBody(std::string data, std::chrono::milliseconds timeout) {
+  State& state = *m_state;
+  state.m_request.body().data = data.data();
+  state.m_request.body().size = data.size();
+  state.m_request.body().more = true;
+  state.m_stream.expires_after(timeout);
+  beast::error_code ec;
+  co_await http::async_write(state.m_stream, *state.m_serializer, asio::redirect_error(asio::use_awaitable, ec));
+  if (ec && ec != http::error::need_buffer) state.Fail("send", ec);
+}
+
+asio::awaitable<void> HttpConnection::FinishBody(std::chrono::milliseconds timeout) {
+  State& state = *m_state;
+  if (state.m_serializer->is_done()) co_return;
+  state.m_request.body().data = nullptr;
+  state.m_request.body().size = 0;
+  state.m_request.body().more = false;
+  state.m_stream.expires_after(timeout);
+  beast::error_code ec;
+  co_await http::async_write(state.m_stream, *state.m_serializer, asio::redirect_error(asio::use_awaitable, ec));
+  if (ec && ec != http::error::need_buffer) state.Fail("send", ec);
+}
+
+asio::awaitable<AnswerHead> HttpConnection::ReadHead(std::chrono::milliseconds timeout) {
+  State& state = *m_state;
+  state.m_parser.emplace();
+  state.m_parser->header_limit(kMaxHeaderBytes);
+  state.m_parser->body_limit(boost::none);
+  if (state.m_request.method() == http::verb::head) state.m_parser->skip(true);
+  state.m_stream.expires_after(timeout);
+  beast::error_code ec;
+  co_await http::async_read_header(state.m_stream, state.m_buffer, *state.m_parser,
+                                   asio::redirect_error(asio::use_awaitable, ec));
+  if (ec) state.Fail("read", ec);
+  AnswerHead head;
+  const auto& message = state.m_parser->get();
+  head.m_status = message.result_int();
+  for (const auto& field : message) {
+    head.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
+  }
+  if (const auto length = state.m_parser->content_length()) {
+    head.m_content_length = static_cast<std::int64_t>(*length);
+  }
+  co_return head;
+}
+
+asio::awaitable<std::string> HttpConnection::ReadBody(std::chrono::milliseconds timeout) {
+  State& state = *m_state;
+  while (!state.m_parser->is_done()) {
+    std::string chunk(kBodyChunk, '\0');
+    state.m_parser->get().body().data = chunk.data();
+    state.m_parser->get().body().size = chunk.size();
+    state.m_stream.expires_after(timeout);
+    beast::error_code ec;
+    co_await http::async_read(state.m_stream, state.m_buffer, *state.m_parser,
+                              asio::redirect_error(asio::use_awaitable, ec));
+    if (ec == http::error::need_buffer) ec = {};
+    if (ec) state.Fail("read", ec);
+    chunk.resize(chunk.size() - state.m_parser->get().body().size);
+    if (!chunk.empty()) co_return chunk;
+  }
+  state.m_stream.expires_never();
+  if (!state.m_parser->get().keep_alive()) Close();
+  co_return std::string();
+}
+
+asio::awaitable<HttpAnswer> HttpConnection::Request(RequestHead head, std::string body,
+                                                    std::chrono::milliseconds timeout) {
+  co_await Connect(timeout);
+  head.m_content_length = static_cast<std::int64_t>(body.size());
+  co_await SendHead(std::move(head), timeout);
+  if (!body.empty()) {
+    co_await SendBody(std::move(body), timeout);
+    co_await FinishBody(timeout);
+  }
+  const AnswerHead answer_head = co_await ReadHead(timeout);
+  HttpAnswer answer{answer_head.m_status, answer_head.m_headers, {}};
+  for (std::string chunk = co_await ReadBody(timeout); !chunk.empty(); chunk = co_await ReadBody(timeout)) {
+    answer.m_body += chunk;
+  }
+  co_return answer;
+}
+
+bool HttpConnection::Reusable() const {
+  return m_state->m_connected && (!m_state->m_parser || m_state->m_parser->is_done());
+}
+
+bool HttpConnection::Connected() const { return m_state->m_connected; }
+
+bool HttpConnection::TimedOut() const { return m_state->m_timed_out; }
+
+void HttpConnection::Close() {
+  m_state->m_connected = false;
+  m_state->m_stream.close();
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/net/http_types.cc
@@ -0,0 +1,34 @@
+#include "fescueramp/net/http_types.h"
+
+#include <algorithm>
+#include <array>
+
+namespace fescueramp {
+namespace {
+
+constexpr std::array<std::string_view, 11> kStripped = {
+    "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization", "te",  "trailer",
+    "upgrade",    "transfer-encoding", "content-length",     "proxy-connection",    "expect"};
+
+}  // namespace
+
+std::string ToLower(std::string_view text) {
+  std::string lower(text);
+  std::transform(lower.begin(), lower.end(), lower.begin(),
+                 [](char c) { return c >= 'A' && c <= 'Z' ? static_cast<char>(c - 'A' + 'a') : c; });
+  return lower;
+}
+
+std::string_view FindHeader(const std::vector<HeaderField>& headers, std::string_view lower_case_name) {
+  for (const auto& header : headers) {
+    if (ToLower(header.m_name) == lower_case_name) return header.m_value;
+  }
+  return {};
+}
+
+bool IsStrippedHeader(std::string_view name) {
+  const std::string lower = ToLower(name);
+  return lower.starts_with("fescue-") || std::find(kStripped.begin(), kStripped.end(), lower) != kStripped.end();
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/net/http_types.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <boost/describe.hpp>
+#include <cstdint>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace fescueramp {
+
+/// One header field.
+struct HeaderField {
+  std::string m_name;
+  std::string m_value;
+};
+BOOST_DESCRIBE_STRUCT(HeaderField, (), (m_name, m_value))
+
+/// Head of a caller's request, as it goes to an endpoint.
+struct RequestHead {
+  std::string m_method;
+  std::string m_target;
+  std::vector<HeaderField> m_headers;
+  std::int64_t m_content_length = -1;  ///< -1 when the body is chunked.
+};
+BOOST_DESCRIBE_STRUCT(RequestHead, (), (m_method, m_target, m_headers, m_content_length))
+
+/// Head of an answer on its way to a caller.
+struct AnswerHead {
+  std::int64_t m_status = 0;
+  std::vector<HeaderField> m_headers;
+  std::int64_t m_content_length = -1;    ///< -1 when it is not known.
+  std::int64_t m_code = 0;               ///< Number of a ResultCode.
+  std::int64_t m_retry_after_ms = 0;
+  std::int64_t m_recorded_status = 0;    ///< For ALREADY_RUN: the status the work ended with.
+  std::string m_record;                  ///< Decision record as JSON.
+};
+BOOST_DESCRIBE_STRUCT(AnswerHead, (),
+                      (m_status, m_headers, m_content_length, m_code, m_retry_after_ms, m_recorded_status, m_record))
+
+/// Value of the first field with this lower-case name, or an empty text.
+std::string_view FindHeader(const std::vector<HeaderField>& headers, std::string_view lower_case_name);
+
+/// Whether a field must not be passed on: hop-by-hop, framing, or this system's own.
+bool IsStrippedHeader(std::string_view name);
+
+/// Lower-case copy of an ASCII text.
+std::string ToLower(std::string_view text);
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/net/link_pool.cc
@@ -0,0 +1,39 @@
+#include "fescueramp/net/link_pool.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr auto kConnectTimeout = std::chrono::milliseconds(400);
+
+}  // namespace
+
+asio::awaitable<std::shared_ptr<Link>> LinkPool::Get(std::string address, std::uint16_t port) {
+  const std::string key = address + "|" + std::to_string(port);
+  if (const auto found = m_links.find(key); found != m_links.end() && !found->second->Closed()) {
+    co_return found->second;
+  }
+  asio::ip::tcp::socket socket(m_executor);
+  asio::steady_timer timer(m_executor, kConnectTimeout);
+  timer.async_wait([&socket](const boost::system::error_code& ec) {
+    boost::system::error_code ignored;
+    if (!ec) socket.close(ignored);
+  });
+  boost::system::error_code ec;
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address), port);
+  co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+  timer.cancel();
+  if (ec || !socket.is_open()) throw LinkError("cannot reach " + key);
+  // Another coroutine may have connected meanwhile.
+  auto& link = m_links[key];
+  if (!link || link->Closed()) {
+    link = std::make_shared<Link>(std::move(socket), false, nullptr);
+    link->Start();
+  }
+  co_return link;
+}
+
+void LinkPool::CloseAll() {
+  for (auto& [key, link] : m_links) link->Close();
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/node/effects.h
@@ -0,0 +1,83 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fescueramp/core/json_codec.h"
+#include "fescueramp/dispatch/dispatch_types.h"
+#include "fescueramp/membership/member.h"
+#include "fescueramp/platform/store_types.h"
+
+/// Everything that a node's decisions ask the shell to do.
+namespace fescueramp {
+
+/// Passes a caller's request to a dispatcher.
+struct ForwardRequest {
+  static constexpr const char* kType = "forward_request";
+  std::string m_request_id;  ///< Id at the entry host; `m_request` has one of its own for each forward.
+  std::string m_node;
+  std::string m_address;
+  std::int64_t m_port = 0;
+  std::string m_group;  ///< Caller group, for metrics.
+  std::int64_t m_max_body_bytes = 0;
+  DispatchRequest m_request;
+};
+BOOST_DESCRIBE_STRUCT(ForwardRequest, (),
+                      (m_request_id, m_node, m_address, m_port, m_group, m_max_body_bytes, m_request))
+
+/// Answers a caller with a result code.
+struct RefuseRequest {
+  static constexpr const char* kType = "refuse_request";
+  std::string m_request_id;
+  std::int64_t m_code = 0;  ///< Number of a ResultCode.
+  std::int64_t m_retry_after_ms = 0;
+};
+BOOST_DESCRIBE_STRUCT(RefuseRequest, (), (m_request_id, m_code, m_retry_after_ms))
+
+/// Passes a request on to the node that owns its service.
+struct RelayRequest {
+  static constexpr const char* kType = "relay_request";
+  std::string m_request_id;
+  std::string m_node;
+  std::string m_address;
+  std::int64_t m_port = 0;
+};
+BOOST_DESCRIBE_STRUCT(RelayRequest, (), (m_request_id, m_node, m_address, m_port))
+
+/// Reads a revision from another node.
+struct FetchConfiguration {
+  static constexpr const char* kType = "fetch_configuration";
+  std::string m_node;
+  std::string m_address;
+  std::int64_t m_port = 0;
+};
+BOOST_DESCRIBE_STRUCT(FetchConfiguration, (), (m_node, m_address, m_port))
+
+/// Reports that a revision is in force, or why it was refused.
+struct ReportConfiguration {
+  static constexpr const char* kType = "report_configuration";
+  std::int64_t m_revision = 0;
+  std::string m_problem;  ///< Empty when the revision is in force.
+};
+BOOST_DESCRIBE_STRUCT(ReportConfiguration, (), (m_revision, m_problem))
+
+/// Starts or ends watching the store and the platform's list of hosts.
+struct SetWatching {
+  static constexpr const char* kType = "set_watching";
+  bool m_watching = false;
+};
+BOOST_DESCRIBE_STRUCT(SetWatching, (), (m_watching))
+
+/// Reports that a shutdown has nothing left to wait for.
+struct ShutdownComplete {
+  static constexpr const char* kType = "shutdown_complete";
+};
+BOOST_DESCRIBE_STRUCT(ShutdownComplete, (), ())
+
+using Effect = std::variant<ForwardRequest, RefuseRequest, RelayRequest, StartAttempt, FinishRequest, DeliverAnswer,
+                            CancelAttempt, ReportHealth, SendGossip, ReportMember, StoreGet, StorePut, StoreDelete,
+                            FetchConfiguration, ReportConfiguration, SetWatching, ShutdownComplete>;
+using Effects = std::vector<Effect>;
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/node/entry_desk.cc
@@ -0,0 +1,132 @@
+#include "fescueramp/node/entry_desk.h"
+
+#include "fescueramp/core/hash.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr std::int64_t kMaxForwards = 6;
+constexpr std::size_t kMaxIdempotencyKey = 128;
+constexpr Duration kRetrySoon = std::chrono::milliseconds(500);
+
+}  // namespace
+
+void EntryDesk::Refuse(const std::string& request_id, ResultCode code, Duration retry_after, Effects& out) {
+  out.emplace_back(RefuseRequest{request_id, static_cast<std::int64_t>(code), retry_after.count() / 1000});
+}
+
+ResultCode EntryDesk::CheckLimits(const std::string& account, const ObjectSet& set, Instant now,
+                                  Duration& retry_after) {
+  const auto object = set.m_accounts.find(account);
+  if (object == set.m_accounts.end() || object->second.m_limit.empty()) return ResultCode::kOk;
+  const Limit& limit = set.m_limits.at(object->second.m_limit);
+  AccountState& state = m_accounts[account];
+  if (limit.m_max_concurrent > 0 && state.m_open >= limit.m_max_concurrent) {
+    retry_after = kRetrySoon;
+    return ResultCode::kConcurrencyLimited;
+  }
+  if (limit.m_rate > 0 && !state.m_bucket.Take(now, limit.m_rate, static_cast<double>(limit.m_burst))) {
+    retry_after = state.m_bucket.UntilNext(limit.m_rate);
+    return ResultCode::kRateLimited;
+  }
+  return ResultCode::kOk;
+}
+
+void EntryDesk::Receive(const RequestReceived& event, const std::shared_ptr<const RouteTable>& table, Instant now,
+                        Effects& out) {
+  const std::string& id = event.m_request_id;
+  if (!table) return Refuse(id, ResultCode::kNotReady, kRetrySoon, out);
+  const auto match = table->FindRoute(event.m_method, event.m_path);
+  if (!match.m_route) return Refuse(id, ResultCode::kNoRoute, Duration(0), out);
+  const Route& route = *match.m_route;
+  const std::string* account = table->FindAccount(event.m_key_sha256);
+  if (!account && !event.m_key_sha256.empty()) return Refuse(id, ResultCode::kUnknownAccount, Duration(0), out);
+  const std::size_t key_size = event.m_idempotency_key.size();
+  if (!route.m_repeatable && (key_size == 0 || key_size > kMaxIdempotencyKey)) {
+    return Refuse(id, ResultCode::kMissingIdempotencyKey, Duration(0), out);
+  }
+  if (event.m_body_bytes > route.m_max_body_bytes) return Refuse(id, ResultCode::kBodyTooLarge, Duration(0), out);
+  const std::string name = account ? *account : std::string();
+  Duration retry_after{};
+  if (const ResultCode code = CheckLimits(name, table->Set(), now, retry_after); code != ResultCode::kOk) {
+    return Refuse(id, code, retry_after, out);
+  }
+  OpenRequest open;
+  open.m_request = {id, m_membership.Self().m_node, route.m_service, match.m_name, route.m_priority, name,
+                    route.m_repeatable, 0, 0, now + std::chrono::milliseconds(route.m_deadline_ms)};
+  if (!route.m_repeatable) {
+    open.m_request.m_claim_key = Hash64(route.m_service + "\n" + name + "\n" + event.m_idempotency_key);
+  }
+  open.m_request.m_fingerprint =
+      Hash64(event.m_method + "\n" + event.m_path + "\n" + name + "\n" + event.m_idempotency_key);
+  const auto object = table->Set().m_accounts.find(name);
+  open.m_group = object == table->Set().m_accounts.end() ? "anonymous" : object->second.m_group;
+  open.m_max_body_bytes = route.m_max_body_bytes;
+  m_open.emplace(id, std::move(open));
+  ++m_accounts[name].m_open;
+  Forward(id, now, out);
+}
+
+void EntryDesk::Forward(const std::string& request_id, Instant now, Effects& out) {
+  OpenRequest& open = m_open.at(request_id);
+  const std::string node = m_ownership.ReachableOwner(open.m_request.m_service, now);
+  const auto member = m_membership.Members().find(node);
+  if (member == m_membership.Members().end()) {
+    const ResultCode code = CodeWithoutAnswer(open, now);
+    Close(request_id);
+    return Refuse(request_id, code, kRetrySoon, out);
+  }
+  ++open.m_forwards;
+  // Each forward has an id of its own, so that a late answer to an earlier one can't be taken for it.
+  DispatchRequest request = open.m_request;
+  if (open.m_forwards > 1) request.m_request_id += "." + std::to_string(open.m_forwards);
+  out.emplace_back(ForwardRequest{request_id, node, member->second.m_address, member->second.m_link_port, open.m_group,
+                                  open.m_max_body_bytes, std::move(request)});
+}
+
+ResultCode EntryDesk::CodeWithoutAnswer(const OpenRequest& open, Instant now) const {
+  if (!open.m_maybe_ran) return open.m_request.m_repeatable ? ResultCode::kNotRun : ResultCode::kAttemptNotRun;
+  if (!open.m_request.m_repeatable) return ResultCode::kOutcomeUnknown;
+  return now >= open.m_request.m_deadline ? ResultCode::kDeadlineExceeded : ResultCode::kAnswerIncomplete;
+}
+
+void EntryDesk::Close(const std::string& request_id) {
+  const auto open = m_open.find(request_id);
+  const auto account = m_accounts.find(open->second.m_request.m_account);
+  --account->second.m_open;
+  m_open.erase(open);
+}
+
+void EntryDesk::EndForward(const ForwardEnded& event, Instant now, Effects& out) {
+  const auto found = m_open.find(event.m_request_id);
+  if (found == m_open.end()) return;
+  OpenRequest& open = found->second;
+  switch (event.m_outcome) {
+    case ForwardOutcome::kAnswered:
+      m_ownership.MarkReachable(event.m_node);
+      return Close(event.m_request_id);
+    case ForwardOutcome::kCallerLeft:
+      return Close(event.m_request_id);
+    case ForwardOutcome::kConnectFailed:
+      m_ownership.MarkUnreachable(event.m_node, now);
+      break;
+    case ForwardOutcome::kLinkLost:
+      m_ownership.MarkUnreachable(event.m_node, now);
+      open.m_maybe_ran = true;
+      break;
+    case ForwardOutcome::kHandedBack:
+      break;
+    case ForwardOutcome::kTimedOut:
+      open.m_maybe_ran = true;
+      break;
+  }
+  // Work that must not repeat is safe to pass on too: the next dispatcher finds its claim, if there is one.
+  const bool again = event.m_outcome != ForwardOutcome::kTimedOut && event.m_body_replayable &&
+                     open.m_forwards < kMaxForwards && now < open.m_request.m_deadline;
+  if (again) return Forward(event.m_request_id, now, out);
+  const ResultCode code = CodeWithoutAnswer(open, now);
+  Close(event.m_request_id);
+  Refuse(event.m_request_id, code, kRetrySoon, out);
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/node/entry_desk.h
@@ -0,0 +1,56 @@
+#pragma once
+
+#include <map>
+#include <memory>
+#include <string>
+#include <unordered_map>
+
+#include "fescueramp/node/effects.h"
+#include "fescueramp/node/events.h"
+#include "fescueramp/node/ownership.h"
+#include "fescueramp/routing/route_table.h"
+#include "fescueramp/routing/token_bucket.h"
+
+namespace fescueramp {
+
+/// Holds the requests that callers sent to this node until each has one final answer:
+/// matches route, account and limits, passes them to a dispatcher, and to the next one when that dies.
+class EntryDesk {
+ public:
+  EntryDesk(const Membership& membership, Ownership& ownership) : m_membership(membership), m_ownership(ownership) {}
+
+  /// Takes a request in; without a configuration it is refused.
+  void Receive(const RequestReceived& event, const std::shared_ptr<const RouteTable>& table, Instant now, Effects& out);
+
+  /// Takes the end of a forward and tries the next dispatcher when that is safe.
+  void EndForward(const ForwardEnded& event, Instant now, Effects& out);
+
+  bool Empty() const { return m_open.empty(); }
+  std::size_t Open() const { return m_open.size(); }
+
+ private:
+  struct OpenRequest {
+    DispatchRequest m_request;
+    std::string m_group;
+    std::int64_t m_max_body_bytes = 0;
+    std::int64_t m_forwards = 0;
+    bool m_maybe_ran = false;
+  };
+  struct AccountState {
+    TokenBucket m_bucket;
+    std::int64_t m_open = 0;
+  };
+
+  ResultCode CheckLimits(const std::string& account, const ObjectSet& set, Instant now, Duration& retry_after);
+  void Forward(const std::string& request_id, Instant now, Effects& out);
+  void Refuse(const std::string& request_id, ResultCode code, Duration retry_after, Effects& out);
+  void Close(const std::string& request_id);
+  ResultCode CodeWithoutAnswer(const OpenRequest& open, Instant now) const;
+
+  const Membership& m_membership;
+  Ownership& m_ownership;
+  std::unordered_map<std::string, OpenRequest> m_open;
+  std::unordered_map<std::string, AccountState> m_accounts;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/node/events.h
@@ -0,0 +1,131 @@
+#pragma once
+
+#include <string>
+#include <variant>
+#include <vector>
+
+#include "fescueramp/core/json_codec.h"
+#include "fescueramp/dispatch/dispatch_types.h"
+#include "fescueramp/membership/member.h"
+#include "fescueramp/platform/store_types.h"
+
+/// Everything that can happen to a node.
+namespace fescueramp {
+
+/// Time has passed.
+struct Tick {
+  static constexpr const char* kType = "tick";
+};
+BOOST_DESCRIBE_STRUCT(Tick, (), ())
+
+/// A caller's request has been read up to its body.
+struct RequestReceived {
+  static constexpr const char* kType = "request_received";
+  std::string m_request_id;
+  std::string m_method;
+  std::string m_path;
+  std::string m_key_sha256;       ///< Hash of the API key; empty when there is none.
+  std::string m_idempotency_key;  ///< Empty when there is none.
+  std::int64_t m_body_bytes = 0;  ///< Declared length; 0 when it is not known.
+};
+BOOST_DESCRIBE_STRUCT(RequestReceived, (),
+                      (m_request_id, m_method, m_path, m_key_sha256, m_idempotency_key, m_body_bytes))
+
+/// How passing a request to a dispatcher ended.
+enum class ForwardOutcome {
+  kAnswered,       ///< The answer went to the caller, whole or broken off; nothing is left to do.
+  kConnectFailed,  ///< Nothing was sent.
+  kLinkLost,       ///< The stream ended before the answer.
+  kHandedBack,     ///< The dispatcher gives the request back; it did not run there.
+  kTimedOut,       ///< The deadline passed.
+  kCallerLeft,     ///< The caller closed its connection.
+};
+
+template <>
+struct EnumTable<ForwardOutcome> {
+  static constexpr std::array<std::string_view, 6> kNames = {"answered",    "connect_failed", "link_lost",
+                                                             "handed_back", "timed_out",      "caller_left"};
+};
+
+/// Passing a request to a dispatcher has ended.
+struct ForwardEnded {
+  static constexpr const char* kType = "forward_ended";
+  std::string m_request_id;
+  std::string m_node;
+  ForwardOutcome m_outcome = ForwardOutcome::kAnswered;
+  bool m_body_replayable = true;
+};
+BOOST_DESCRIBE_STRUCT(ForwardEnded, (), (m_request_id, m_node, m_outcome, m_body_replayable))
+
+/// A node has passed a request to this one.
+struct DispatchArrived {
+  static constexpr const char* kType = "dispatch_arrived";
+  DispatchRequest m_request;
+  std::int64_t m_hops = 0;  ///< Nodes that have passed it on already, the entry host not counted.
+};
+BOOST_DESCRIBE_STRUCT(DispatchArrived, (), (m_request, m_hops))
+
+/// The node that passed a request has given it up.
+struct DispatchCancelled {
+  static constexpr const char* kType = "dispatch_cancelled";
+  std::string m_request_id;
+};
+BOOST_DESCRIBE_STRUCT(DispatchCancelled, (), (m_request_id))
+
+/// The dispatcher that a request was relayed to could not be reached; nothing was sent.
+struct RelayFailed {
+  static constexpr const char* kType = "relay_failed";
+  std::string m_request_id;
+  std::string m_node;
+};
+BOOST_DESCRIBE_STRUCT(RelayFailed, (), (m_request_id, m_node))
+
+/// An attempt on an endpoint has ended.
+struct AttemptEnded {
+  static constexpr const char* kType = "attempt_ended";
+  AttemptResult m_result;
+};
+BOOST_DESCRIBE_STRUCT(AttemptEnded, (), (m_result))
+
+/// An authentic datagram has come in.
+struct GossipReceived {
+  static constexpr const char* kType = "gossip_received";
+  std::string m_address;
+  std::int64_t m_port = 0;
+  GossipMessage m_message;
+};
+BOOST_DESCRIBE_STRUCT(GossipReceived, (), (m_address, m_port, m_message))
+
+/// A revision has been read whole, from the store or from another node.
+struct ConfigurationLoaded {
+  static constexpr const char* kType = "configuration_loaded";
+  std::int64_t m_revision = 0;
+  std::string m_text;
+};
+BOOST_DESCRIBE_STRUCT(ConfigurationLoaded, (), (m_revision, m_text))
+
+/// Reading a revision has failed.
+struct ConfigurationFailed {
+  static constexpr const char* kType = "configuration_failed";
+};
+BOOST_DESCRIBE_STRUCT(ConfigurationFailed, (), ())
+
+/// The platform's list of hosts has been read.
+struct HostsListed {
+  static constexpr const char* kType = "hosts_listed";
+  std::int64_t m_version = 0;
+  std::vector<std::string> m_leaving;  ///< Names of endpoints that are leaving.
+};
+BOOST_DESCRIBE_STRUCT(HostsListed, (), (m_version, m_leaving))
+
+/// The operator or the platform wants the node to end.
+struct ShutdownRequested {
+  static constexpr const char* kType = "shutdown_requested";
+};
+BOOST_DESCRIBE_STRUCT(ShutdownRequested, (), ())
+
+using Event = std::variant<Tick, RequestReceived, ForwardEnded, DispatchArrived, DispatchCancelled, RelayFailed,
+                           AttemptEnded, GossipReceived, StoreAnswered, ConfigurationLoaded, ConfigurationFailed,
+                           HostsListed, ShutdownRequested>;
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/node/node_reducer.cc
@@ -0,0 +1,317 @@
+#include "fescueramp/node/node_reducer.h"
+
+#include <algorithm>
+
+#include "fescueramp/config/object_set.h"
+#include "fescueramp/dispatch/baseline_dispatcher.h"
+#include "fescueramp/dispatch/fair_dispatcher.h"
+#include "fescueramp/routing/rendezvous.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr Duration kFetchTime = std::chrono::seconds(2);  ///< After this a fetch without a result is tried again.
+constexpr std::int64_t kMaxHops = 1;
+
+}  // namespace
+
+NodeReducer::NodeReducer(NodeSettings settings)
+    : m_settings(std::move(settings)),
+      m_membership(m_settings.m_self, m_settings.m_seeds, {}, static_cast<std::uint32_t>(m_settings.m_random_seed)),
+      m_ownership(m_membership, m_settings.m_claim_groups, m_settings.m_policy == PolicyKind::kBaseline),
+      m_entry(m_membership, m_ownership) {}
+
+Effects NodeReducer::Reduce(const Event& event, Instant now) {
+  std::visit([&](const auto& item) { On(item, now); }, event);
+  CollectClaims(now);
+  CollectMembership();
+  CheckShutdown(now);
+  return std::exchange(m_effects, {});
+}
+
+void NodeReducer::On(const Tick&, Instant now) {
+  m_membership.Tick(now);
+  for (auto& [service, dispatcher] : m_dispatchers) {
+    DispatchEffects out;
+    dispatcher->Tick(now, out);
+    Run(std::move(out), now);
+  }
+  UpdateWatching();
+}
+
+void NodeReducer::On(const RequestReceived& event, Instant now) { m_entry.Receive(event, m_table, now, m_effects); }
+
+void NodeReducer::On(const ForwardEnded& event, Instant now) { m_entry.EndForward(event, now, m_effects); }
+
+void NodeReducer::On(const DispatchArrived& event, Instant now) {
+  const std::string& service = event.m_request.m_service;
+  const std::string& self = m_settings.m_self.m_node;
+  const std::string owner = m_ownership.ReachableOwner(service, now);
+  if (owner != self && !owner.empty() && event.m_hops < kMaxHops) {
+    // The sender can't reach the owner, or sees another one: one order of service is kept by passing it on.
+    const Member& member = m_membership.Members().at(owner);
+    m_relayed[event.m_request.m_request_id] = event.m_request;
+    m_effects.emplace_back(
+        RelayRequest{event.m_request.m_request_id, owner, member.m_address, member.m_link_port});
+    return;
+  }
+  Accept(event.m_request, now);
+}
+
+void NodeReducer::On(const RelayFailed& event, Instant now) {
+  m_ownership.MarkUnreachable(event.m_node, now);
+  const auto relayed = m_relayed.extract(event.m_request_id);
+  if (!relayed.empty()) Accept(relayed.mapped(), now);
+}
+
+void NodeReducer::Accept(const DispatchRequest& request, Instant now) {
+  Dispatcher* dispatcher = DispatcherOf(request.m_service, now);
+  if (!dispatcher || m_leaving) return FinishAtDispatcher(request.m_request_id, ResultCode::kNotReady);
+  const bool claims = !request.m_repeatable && m_settings.m_policy == PolicyKind::kFair;
+  if (claims) {
+    m_claims[request.m_request_id] = {request, false, false, 0};
+    return KeeperOf(request.m_service).Claim(request.m_claim_key, request.m_request_id, now);
+  }
+  m_service_of[request.m_request_id] = request.m_service;
+  DispatchEffects out;
+  dispatcher->Enqueue(request, now, out);
+  Run(std::move(out), now);
+}
+
+void NodeReducer::FinishAtDispatcher(const std::string& request_id, ResultCode code, std::int64_t recorded_status) {
+  DecisionRecord record;
+  record.m_request_id = request_id;
+  record.m_dispatcher = m_settings.m_self.m_node;
+  record.m_revision = Revision();
+  record.m_outcome = Info(code).m_name;
+  m_effects.emplace_back(FinishRequest{request_id, static_cast<std::int64_t>(code), 0, recorded_status, record});
+}
+
+Dispatcher* NodeReducer::DispatcherOf(const std::string& service, Instant now) {
+  if (!m_table || !m_table->Set().m_services.contains(service)) return nullptr;
+  auto& dispatcher = m_dispatchers[service];
+  if (!dispatcher) {
+    const Member& self = m_settings.m_self;
+    if (m_settings.m_policy == PolicyKind::kBaseline) {
+      const auto seed = static_cast<std::uint32_t>(m_settings.m_random_seed);
+      dispatcher = std::make_unique<BaselineDispatcher>(service, self.m_node, seed);
+    } else {
+      dispatcher = std::make_unique<FairDispatcher>(service, self.m_node, self.m_zone);
+    }
+    DispatchEffects out;
+    dispatcher->Configure(m_table, out, now);
+    for (const auto& endpoint : m_membership.LeavingEndpoints()) dispatcher->SetLeaving(endpoint, true, now, out);
+  }
+  return dispatcher.get();
+}
+
+ClaimKeeper& NodeReducer::KeeperOf(const std::string& service) {
+  const std::string group = m_ownership.GroupOf(service);
+  auto& keeper = m_keepers[group];
+  if (!keeper) {
+    ClaimSettings settings;
+    settings.m_window = std::chrono::seconds(m_settings.m_claim_window_s);
+    keeper = std::make_unique<ClaimKeeper>(group, m_settings.m_self.m_node, settings, m_store_operations);
+  }
+  return *keeper;
+}
+
+void NodeReducer::On(const DispatchCancelled& event, Instant now) {
+  m_relayed.erase(event.m_request_id);
+  if (const auto claim = m_claims.find(event.m_request_id); claim != m_claims.end() && !claim->second.m_granted) {
+    claim->second.m_cancelled = true;
+    return;
+  }
+  const auto service = m_service_of.find(event.m_request_id);
+  if (service == m_service_of.end()) return;
+  DispatchEffects out;
+  m_dispatchers.at(service->second)->Cancel(event.m_request_id, now, out);
+  Run(std::move(out), now);
+}
+
+void NodeReducer::On(const AttemptEnded& event, Instant now) {
+  const auto service = m_service_of.find(event.m_result.m_request_id);
+  if (service == m_service_of.end()) return;
+  if (const auto claim = m_claims.find(event.m_result.m_request_id); claim != m_claims.end()) {
+    claim->second.m_status = event.m_result.m_status;
+  }
+  DispatchEffects out;
+  m_dispatchers.at(service->second)->EndAttempt(event.m_result, now, out);
+  Run(std::move(out), now);
+}
+
+void NodeReducer::Run(DispatchEffects effects, Instant now) {
+  for (auto& effect : effects) {
+    if (const auto* finish = std::get_if<FinishRequest>(&effect)) {
+      SettleClaim(finish->m_request_id, false, finish->m_code, now);
+      m_service_of.erase(finish->m_request_id);
+    } else if (const auto* deliver = std::get_if<DeliverAnswer>(&effect)) {
+      SettleClaim(deliver->m_request_id, true, 0, now);
+      m_service_of.erase(deliver->m_request_id);
+    }
+    std::visit([&](auto& item) { m_effects.emplace_back(std::move(item)); }, effect);
+  }
+}
+
+void NodeReducer::SettleClaim(const std::string& request_id, bool delivered, std::int64_t code, Instant now) {
+  const auto claim = m_claims.find(request_id);
+  if (claim == m_claims.end()) return;
+  const DispatchRequest& request = claim->second.m_request;
+  ClaimKeeper& keeper = KeeperOf(request.m_service);
+  const auto result = static_cast<ResultCode>(code);
+  if (delivered) {
+    keeper.Complete(request.m_claim_key, request_id, claim->second.m_status, now);
+  } else if (result == ResultCode::kNotRun || result == ResultCode::kQuarantined) {
+    keeper.Release(request.m_claim_key, request_id, now);
+  }
+  // Any other end leaves the claim: the work may have run.
+  m_claims.erase(claim);
+}
+
+void NodeReducer::CollectClaims(Instant now) {
+  for (auto& [group, keeper] : m_keepers) {
+    keeper->Advance(now);
+    for (const auto& answer : keeper->TakeAnswers()) {
+      const auto claim = m_claims.find(answer.m_request_id);
+      if (claim == m_claims.end()) continue;
+      if (answer.m_verdict == ClaimVerdict::kGranted) {
+        const DispatchRequest request = claim->second.m_request;
+        claim->second.m_granted = true;
+        Dispatcher* dispatcher = claim->second.m_cancelled ? nullptr : DispatcherOf(request.m_service, now);
+        if (!dispatcher) {
+          SettleClaim(request.m_request_id, false, static_cast<std::int64_t>(ResultCode::kNotRun), now);
+          FinishAtDispatcher(request.m_request_id, ResultCode::kNotRun);
+          continue;
+        }
+        m_service_of[request.m_request_id] = request.m_service;
+        DispatchEffects out;
+        dispatcher->Enqueue(request, now, out);
+        Run(std::move(out), now);
+        continue;
+      }
+      m_claims.erase(claim);
+      ResultCode code = ResultCode::kOutcomeUnknown;
+      if (answer.m_verdict == ClaimVerdict::kDone) code = ResultCode::kAlreadyRun;
+      if (answer.m_verdict == ClaimVerdict::kUnavailable) code = ResultCode::kAttemptNotRun;
+      FinishAtDispatcher(answer.m_request_id, code, answer.m_recorded_status);
+    }
+    for (auto& effect : keeper->TakeEffects()) {
+      std::visit([&](auto& item) { m_effects.emplace_back(std::move(item)); }, effect);
+    }
+  }
+}
+
+void NodeReducer::On(const GossipReceived& event, Instant now) {
+  const GossipMessage& message = event.m_message;
+  m_membership.Receive(message, event.m_address, event.m_port, now);
+  if (m_membership.SetLeaving(message.m_leaving_version, message.m_leaving_endpoints)) {
+    ApplyLeaving(now);
+    m_membership.AnnounceNow(now);
+  }
+  const auto sender = m_membership.Members().find(message.m_from);
+  if (message.m_revision <= Revision() || now < m_fetch_until || sender == m_membership.Members().end()) return;
+  m_fetch_until = now + kFetchTime;
+  m_effects.emplace_back(
+      FetchConfiguration{message.m_from, sender->second.m_address, sender->second.m_link_port});
+}
+
+void NodeReducer::On(const StoreAnswered& event, Instant now) {
+  for (auto& [group, keeper] : m_keepers) keeper->OnStoreAnswer(event, now);
+}
+
+void NodeReducer::On(const ConfigurationLoaded& event, Instant now) {
+  m_fetch_until = {};
+  // An older revision never replaces a newer one.
+  if (event.m_revision <= Revision()) return;
+  try {
+    ParsedObjectSet parsed = ParseObjectSet(event.m_text);
+    if (!parsed.m_mistakes.empty()) {
+      const Mistake& first = parsed.m_mistakes.front();
+      m_effects.emplace_back(ReportConfiguration{event.m_revision, first.m_object + ": " + first.m_problem});
+      return;
+    }
+    m_table = std::make_shared<RouteTable>(event.m_revision, std::move(parsed.m_set));
+  } catch (const Error& error) {
+    m_effects.emplace_back(ReportConfiguration{event.m_revision, error.what()});
+    return;
+  }
+  m_membership.SetRevision(event.m_revision);
+  m_effects.emplace_back(ReportConfiguration{event.m_revision, {}});
+  for (auto& [service, dispatcher] : m_dispatchers) {
+    // A service that was removed finishes what it has under the objects it had.
+    if (!m_table->Set().m_services.contains(service)) continue;
+    DispatchEffects out;
+    dispatcher->Configure(m_table, out, now);
+    Run(std::move(out), now);
+  }
+  std::erase_if(m_dispatchers, [&](const auto& item) {
+    return !m_table->Set().m_services.contains(item.first) && item.second->Idle();
+  });
+  m_membership.AnnounceNow(now);
+}
+
+void NodeReducer::On(const ConfigurationFailed&, Instant) { m_fetch_until = {}; }
+
+void NodeReducer::On(const HostsListed& event, Instant now) {
+  if (!m_membership.SetLeaving(event.m_version, event.m_leaving)) return;
+  ApplyLeaving(now);
+  m_membership.AnnounceNow(now);
+}
+
+void NodeReducer::ApplyLeaving(Instant now) {
+  const auto& leaving = m_membership.LeavingEndpoints();
+  for (auto& [service, dispatcher] : m_dispatchers) {
+    DispatchEffects out;
+    for (const auto& status : dispatcher->Endpoints(now)) {
+      const bool leaves = std::find(leaving.begin(), leaving.end(), status.m_endpoint) != leaving.end();
+      dispatcher->SetLeaving(status.m_endpoint, leaves, now, out);
+    }
+    Run(std::move(out), now);
+  }
+}
+
+void NodeReducer::On(const ShutdownRequested&, Instant now) {
+  if (m_leaving) return;
+  m_leaving = true;
+  m_membership.Leave(MemberState::kLeaving, now);
+  for (auto& [service, dispatcher] : m_dispatchers) {
+    for (const auto& request_id : dispatcher->ReleaseQueue()) {
+      m_service_of.erase(request_id);
+      FinishAtDispatcher(request_id, ResultCode::kNotReady);
+    }
+  }
+}
+
+void NodeReducer::CheckShutdown(Instant now) {
+  if (!m_leaving || m_shutdown_reported) return;
+  const bool idle = m_entry.Empty() && m_service_of.empty() && m_claims.empty() &&
+                    std::all_of(m_keepers.begin(), m_keepers.end(), [](const auto& k) { return k.second->Idle(); });
+  if (!idle) return;
+  m_shutdown_reported = true;
+  m_membership.Leave(MemberState::kLeft, now);
+  CollectMembership();
+  m_effects.emplace_back(ShutdownComplete{});
+}
+
+void NodeReducer::CollectMembership() {
+  for (auto& effect : m_membership.TakeEffects()) {
+    std::visit([&](auto& item) { m_effects.emplace_back(std::move(item)); }, effect);
+  }
+}
+
+void NodeReducer::UpdateWatching() {
+  if (m_watchers_version == m_membership.CandidatesVersion()) return;
+  m_watchers_version = m_membership.CandidatesVersion();
+  std::vector<std::string> region;
+  for (const auto& name : m_membership.OwnerCandidates()) {
+    if (m_membership.Members().at(name).m_region == m_settings.m_self.m_region) region.push_back(name);
+  }
+  const auto order = RendezvousOrder("watchers", region);
+  const auto end = order.begin() + std::min<std::ptrdiff_t>(m_settings.m_watchers, std::ssize(order));
+  const bool watching = std::find(order.begin(), end, m_settings.m_self.m_node) != end;
+  if (watching == m_watching) return;
+  m_watching = watching;
+  m_effects.emplace_back(SetWatching{watching});
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/node/ownership.h
@@ -0,0 +1,46 @@
+#pragma once
+
+#include <map>
+#include <string>
+#include <vector>
+
+#include "fescueramp/core/time.h"
+#include "fescueramp/membership/membership.h"
+
+namespace fescueramp {
+
+/// Says which node dispatches a service: the first live one in rendezvous order that this node can reach.
+/// Soft state: two nodes that differ for a moment cost slots and order, never safety.
+class Ownership {
+ public:
+  /// @param alone Whether this node owns every service itself.
+  Ownership(const Membership& membership, std::int64_t groups, bool alone)
+      : m_membership(membership), m_groups(groups), m_alone(alone) {}
+
+  /// Group of services that share a dispatcher and a claim log.
+  std::string GroupOf(const std::string& service) const;
+
+  /// Owner by membership alone.
+  std::string Owner(const std::string& service) const;
+
+  /// The first node in order that is not known to be out of reach; empty when there is none.
+  std::string ReachableOwner(const std::string& service, Instant now) const;
+
+  /// Notes that a node could not be reached from here.
+  void MarkUnreachable(const std::string& node, Instant now) { m_unreachable[node] = now + kUnreachableTime; }
+  void MarkReachable(const std::string& node) { m_unreachable.erase(node); }
+
+ private:
+  static constexpr Duration kUnreachableTime = std::chrono::seconds(2);
+
+  const std::vector<std::string>& OrderOf(const std::string& service) const;
+
+  const Membership& m_membership;
+  std::int64_t m_groups;
+  bool m_alone;
+  std::map<std::string, Instant> m_unreachable;
+  mutable std::int64_t m_version = -1;
+  mutable std::map<std::string, std::vector<std::string>> m_orders;  ///< By group, for one version of the members.
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/platform/store_client.h
@@ -0,0 +1,59 @@
+#pragma once
+
+#include <boost/asio/awaitable.hpp>
+#include <functional>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "fescueramp/net/http_client.h"
+#include "fescueramp/platform/store_types.h"
+
+namespace fescueramp {
+
+/// Where the platform's service listens, and how long to wait for it.
+struct PlatformSettings {
+  std::string m_address = "127.0.0.1";
+  std::int64_t m_port = 0;
+  std::int64_t m_timeout_ms = 500;       ///< Longest wait for one answer, ms.
+  std::int64_t m_watch_ms = 20000;       ///< Longest time one watch waits, ms.
+};
+BOOST_DESCRIBE_STRUCT(PlatformSettings, (), (m_address, m_port, m_timeout_ms, m_watch_ms))
+
+/// One read of the platform's list of hosts.
+struct HostList {
+  bool m_available = false;
+  std::int64_t m_version = 0;
+  std::vector<std::string> m_leaving;
+};
+
+/// Client of the platform's key-value store and host list. Counts its calls.
+class StoreClient {
+ public:
+  StoreClient(const asio::any_io_executor& executor, PlatformSettings settings);
+
+  asio::awaitable<StoreAnswered> Get(StoreGet request);
+  asio::awaitable<StoreAnswered> Put(StorePut request);
+  asio::awaitable<StoreAnswered> Delete(StoreDelete request);
+
+  /// Waits until the key's version is above `after`, or for the longest time of a watch.
+  asio::awaitable<StoreAnswered> Watch(std::string key, std::int64_t after);
+
+  /// Reads the platform's list of hosts.
+  asio::awaitable<HostList> Hosts();
+
+  std::int64_t Calls() const { return m_calls; }
+  bool Available() const { return m_available; }
+
+ private:
+  asio::awaitable<HttpAnswer> Call(std::string method, std::string target, std::string body,
+                                   std::chrono::milliseconds timeout);
+
+  asio::any_io_executor m_executor;
+  PlatformSettings m_settings;
+  std::vector<std::unique_ptr<HttpConnection>> m_idle;
+  std::int64_t m_calls = 0;
+  bool m_available = true;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/routing/rendezvous.cc
@@ -0,0 +1,45 @@
+#include "fescueramp/routing/rendezvous.h"
+
+#include <algorithm>
+
+#include "fescueramp/core/hash.h"
+
+namespace fescueramp {
+namespace {
+
+struct Weighted {
+  std::uint64_t m_weight;
+  const std::string* m_node;
+
+  bool operator<(const Weighted& other) const {
+    return m_weight != other.m_weight ? m_weight > other.m_weight : *m_node < *other.m_node;
+  }
+};
+
+Weighted Weigh(std::uint64_t key_hash, const std::string& node) { return {Hash64(node, key_hash), &node}; }
+
+}  // namespace
+
+std::vector<std::string> RendezvousOrder(std::string_view key, const std::vector<std::string>& nodes) {
+  const std::uint64_t key_hash = Hash64(key);
+  std::vector<Weighted> weighted;
+  weighted.reserve(nodes.size());
+  for (const auto& node : nodes) weighted.push_back(Weigh(key_hash, node));
+  std::sort(weighted.begin(), weighted.end());
+  std::vector<std::string> order;
+  order.reserve(nodes.size());
+  for (const auto& item : weighted) order.push_back(*item.m_node);
+  return order;
+}
+
+std::string RendezvousOwner(std::string_view key, const std::vector<std::string>& nodes) {
+  const std::uint64_t key_hash = Hash64(key);
+  std::string owner;
+  Weighted best{0, nullptr};
+  for (const auto& node : nodes) {
+    if (const Weighted candidate = Weigh(key_hash, node); !best.m_node || candidate < best) best = candidate;
+  }
+  return best.m_node ? *best.m_node : owner;
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/routing/route_table.h
@@ -0,0 +1,42 @@
+#pragma once
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <string_view>
+#include <unordered_map>
+
+#include "fescueramp/config/objects.h"
+
+namespace fescueramp {
+
+/// Object set in force with the indexes that requests are matched by. Immutable.
+class RouteTable {
+ public:
+  /// A route together with its name.
+  struct Match {
+    std::string m_name;
+    const Route* m_route = nullptr;
+  };
+
+  RouteTable(std::int64_t revision, ObjectSet set);
+
+  std::int64_t Revision() const { return m_revision; }
+  const ObjectSet& Set() const { return m_set; }
+
+  /// Route with the longest matching prefix; a route with a method goes before one without.
+  /// Cost grows with the length of the path, not with the number of routes.
+  Match FindRoute(std::string_view method, std::string_view path) const;
+
+  /// Name of the account with this key hash, or null when there is none.
+  const std::string* FindAccount(const std::string& key_sha256) const;
+
+ private:
+  std::int64_t m_revision;
+  ObjectSet m_set;
+  std::unordered_map<std::string, std::string> m_routes;    ///< Route name by "METHOD prefix".
+  std::unordered_map<std::string, std::string> m_accounts;  ///< Account name by key hash.
+};
+
+}  // namespace fescueramp
