--- a/fescuectl/admin_client.cc
+++ b/fescuectl/admin_client.cc
@@ -31,6 +31,8 @@
   return ParseJson(answer.m_body);
 }
 
-std::string EncodeQuery(std::string_view text) { return boost::urls::encode(text, boost::urls::unreserved_chars); }
+std::string EncodeQuery(std::string_view text) {
+  return boost::urls::encode(text, boost::urls::unreserved_chars);
+}
 
 }  // namespace fescueramp
--- a/fescuectl/commands.cc
+++ b/fescuectl/commands.cc
@@ -51,7 +51,8 @@
   }
   const json::object& object = answer.as_object();
   auto& out = refused ? std::cerr : std::cout;
-  out << Text(object.at("code")) << " " << Text(object.at("result")) << ": " << Text(object.at("text")) << "\n";
+  out << Text(object.at("code")) << " " << Text(object.at("result")) << ": " << Text(object.at("text"))
+      << "\n";
   if (const auto* problem = object.if_contains("problem")) out << "  " << Text(*problem) << "\n";
   if (const auto* revision = object.if_contains("revision")) out << "  revision " << Text(*revision) << "\n";
   if (const auto* mistakes = object.if_contains("mistakes")) {
@@ -61,14 +62,18 @@
     }
   }
   if (const auto* differences = object.if_contains("differences")) {
-    for (const auto& difference : differences->as_array()) out << "  since then: " << Text(difference) << "\n";
+    for (const auto& difference : differences->as_array())
+      out << "  since then: " << Text(difference) << "\n";
   }
   return refused ? 1 : 0;
 }
 
 json::value LocalResult(ResultCode code, const std::vector<Mistake>& mistakes) {
   const ResultInfo& info = Info(code);
-  return {{"code", static_cast<int>(code)}, {"result", info.m_name}, {"text", info.m_text}, {"mistakes", ToJson(mistakes)}};
+  return {{"code", static_cast<int>(code)},
+          {"result", info.m_name},
+          {"text", info.m_text},
+          {"mistakes", ToJson(mistakes)}};
 }
 
 /// The set in force; a fleet without one has revision 0 and an empty set.
@@ -83,7 +88,8 @@
 
 json::value SendPublish(const CommandOptions& options, const std::string& text, std::int64_t base,
                         const std::string& publish_id) {
-  const std::string path = "/v1/publish?base=" + std::to_string(base) + "&publish_id=" + EncodeQuery(publish_id);
+  const std::string path =
+      "/v1/publish?base=" + std::to_string(base) + "&publish_id=" + EncodeQuery(publish_id);
   return AdminClient(options.m_target).Call("POST", path, text);
 }
 
@@ -109,7 +115,8 @@
     return PrintResult(options, LocalResult(ResultCode::kInvalidObjectSet, wanted.m_mistakes));
   }
   const json::value objects = FetchObjects(options);
-  const auto differences = DiffObjectSets(ParseObjectSet(json::serialize(objects.at("set"))).m_set, wanted.m_set);
+  const auto differences =
+      DiffObjectSets(ParseObjectSet(json::serialize(objects.at("set"))).m_set, wanted.m_set);
   if (options.m_json) {
     std::cout << json::serialize(ToJson(differences)) << "\n";
     return 0;
@@ -118,7 +125,8 @@
   return 0;
 }
 
-int Publish(const CommandOptions& options, const std::string& file, std::int64_t base, std::string publish_id) {
+int Publish(const CommandOptions& options, const std::string& file, std::int64_t base,
+            std::string publish_id) {
   if (base == 0) base = FetchObjects(options).at("revision").to_number<std::int64_t>();
   if (publish_id.empty()) publish_id = NewPublishId();
   return PrintResult(options, SendPublish(options, ReadFile(file), base, publish_id));
@@ -140,8 +148,9 @@
   all.insert(all.end(), head.m_history.begin(), head.m_history.end());
   for (const auto& publication : all) {
     const std::time_t time = publication.m_time_ms / 1000;
-    std::cout << std::setw(8) << publication.m_revision << "  " << std::put_time(std::gmtime(&time), "%F %T UTC")
-              << "  " << publication.m_author << "  " << publication.m_publish_id << "\n";
+    std::cout << std::setw(8) << publication.m_revision << "  "
+              << std::put_time(std::gmtime(&time), "%F %T UTC") << "  " << publication.m_author << "  "
+              << publication.m_publish_id << "\n";
   }
   return 0;
 }
@@ -158,15 +167,17 @@
     return 0;
   }
   std::cout << std::left << std::setw(20) << "NODE" << std::setw(10) << "STATE" << std::setw(12) << "ZONE"
-            << std::setw(10) << "REVISION" << std::setw(8) << "READY" << "STORE\n";
+            << std::setw(10) << "REVISION" << std::setw(8) << "READY"
+            << "STORE\n";
   for (const auto& node : answer.at("nodes").as_array()) {
     const json::object& item = node.as_object();
     const bool reachable = item.at("reachable").as_bool();
-    std::cout << std::setw(20) << Text(item.at("node")) << std::setw(10) << Text(item.at("state")) << std::setw(12)
-              << Text(item.at("zone"));
+    std::cout << std::setw(20) << Text(item.at("node")) << std::setw(10) << Text(item.at("state"))
+              << std::setw(12) << Text(item.at("zone"));
     if (reachable) {
       std::cout << std::setw(10) << Text(item.at("revision")) << std::setw(8)
-                << (item.at("ready").as_bool() ? "yes" : "no") << (item.at("store_available").as_bool() ? "up" : "away");
+                << (item.at("ready").as_bool() ? "yes" : "no")
+                << (item.at("store_available").as_bool() ? "up" : "away");
     } else {
       std::cout << "no answer";
     }
@@ -186,17 +197,19 @@
     std::cout << "service " << Text(item.at("service")) << ", dispatcher " << Text(item.at("owner"));
     if (const auto* load = item.if_contains("load")) {
       const auto figures = FromJson<DispatcherLoad>(*load);
-      std::cout << ", queued " << figures.m_queued << ", running " << figures.m_running << " of " << figures.m_slots
-                << " slots, in service " << figures.m_slots_in_service << ", floor " << figures.m_floor_slots;
+      std::cout << ", queued " << figures.m_queued << ", running " << figures.m_running << " of "
+                << figures.m_slots << " slots, in service " << figures.m_slots_in_service << ", floor "
+                << figures.m_floor_slots;
     }
     std::cout << "\n";
     const auto* endpoints = item.if_contains("endpoints");
     if (!endpoints) continue;
     for (const auto& status : FromJson<std::vector<EndpointStatus>>(*endpoints)) {
       std::cout << "  " << std::left << std::setw(16) << status.m_endpoint << std::setw(10)
-                << EnumName(status.m_state) << (status.m_in_service ? "" : "out of service  ") << status.m_busy << "/"
-                << status.m_usable_slots << " slots, errors " << std::setprecision(3) << status.m_error_rate
-                << ", evidence " << status.m_error_evidence << "/" << status.m_latency_evidence;
+                << EnumName(status.m_state) << (status.m_in_service ? "" : "out of service  ")
+                << status.m_busy << "/" << status.m_usable_slots << " slots, errors " << std::setprecision(3)
+                << status.m_error_rate << ", evidence " << status.m_error_evidence << "/"
+                << status.m_latency_evidence;
       if (!status.m_reason.empty()) std::cout << ", " << status.m_reason;
       std::cout << "\n";
     }
@@ -222,7 +235,8 @@
   const json::value objects = FetchObjects(options);
   ObjectSet set = ParseObjectSet(json::serialize(objects.at("set"))).m_set;
   const auto found = set.m_endpoints.find(endpoint);
-  if (found == set.m_endpoints.end()) throw Error(ResultCode::kNotFound, "there is no endpoint \"" + endpoint + "\"");
+  if (found == set.m_endpoints.end())
+    throw Error(ResultCode::kNotFound, "there is no endpoint \"" + endpoint + "\"");
   AdminState state = AdminState::kInService;
   if (order == "drain") state = AdminState::kDraining;
   if (order == "eject") state = AdminState::kEjected;
@@ -239,10 +253,11 @@
     std::cout << json::serialize(ToJson(*facts)) << "\n";
     return 0;
   }
-  std::cout << "The receipt is genuine. Request " << facts->m_request_id << " was decision " << facts->m_sequence
-            << " of dispatcher " << facts->m_dispatcher << " under revision " << facts->m_revision << ", class "
-            << facts->m_class_name << ", after waiting " << ToMilliseconds(facts->m_decided - facts->m_arrival)
-            << " ms, by the rule " << EnumName(facts->m_rule) << ", on endpoint " << facts->m_endpoint << ".\n";
+  std::cout << "The receipt is genuine. Request " << facts->m_request_id << " was decision "
+            << facts->m_sequence << " of dispatcher " << facts->m_dispatcher << " under revision "
+            << facts->m_revision << ", class " << facts->m_class_name << ", after waiting "
+            << ToMilliseconds(facts->m_decided - facts->m_arrival) << " ms, by the rule "
+            << EnumName(facts->m_rule) << ", on endpoint " << facts->m_endpoint << ".\n";
   return 0;
 }
 
@@ -252,11 +267,14 @@
   const auto differences = ReplayTrace(file, kMaxDifferences);
   for (const auto& difference : differences) {
     if (options.m_json) continue;
-    std::cout << "line " << difference.m_line << ": " << difference.m_event << "\n  recorded: "
-              << difference.m_recorded << "\n  replayed: " << difference.m_replayed << "\n";
+    std::cout << "line " << difference.m_line << ": " << difference.m_event
+              << "\n  recorded: " << difference.m_recorded << "\n  replayed: " << difference.m_replayed
+              << "\n";
   }
-  if (options.m_json) std::cout << json::serialize(json::object{{"differences", differences.size()}}) << "\n";
-  else if (differences.empty()) std::cout << "the replay gives the same effects\n";
+  if (options.m_json)
+    std::cout << json::serialize(json::object{{"differences", differences.size()}}) << "\n";
+  else if (differences.empty())
+    std::cout << "the replay gives the same effects\n";
   return differences.empty() ? 0 : 1;
 }
 
@@ -268,8 +286,8 @@
 int PrintCodes() {
   std::cout << "| number | name | HTTP | meaning |\n|---|---|---|---|\n";
   for (const auto& row : ResultTable()) {
-    std::cout << "| " << static_cast<int>(row.m_code) << " | " << row.m_name << " | " << row.m_http_status << " | "
-              << row.m_text << " |\n";
+    std::cout << "| " << static_cast<int>(row.m_code) << " | " << row.m_name << " | " << row.m_http_status
+              << " | " << row.m_text << " |\n";
   }
   return 0;
 }
--- a/fescuectl/commands.h
+++ b/fescuectl/commands.h
@@ -18,7 +18,8 @@
 
 /// @param base Revision that the change starts from; 0 for the one in force.
 /// @param publish_id Name of the publication; a new one when empty.
-int Publish(const CommandOptions& options, const std::string& file, std::int64_t base, std::string publish_id);
+int Publish(const CommandOptions& options, const std::string& file, std::int64_t base,
+            std::string publish_id);
 int Rollback(const CommandOptions& options, std::int64_t revision);
 int History(const CommandOptions& options);
 int Get(const CommandOptions& options);
--- a/fescuectl/main.cc
+++ b/fescuectl/main.cc
@@ -20,7 +20,8 @@
   if (const char* token = std::getenv("FESCUE_TOKEN")) options.m_target.m_token = token;
   app.add_option("--admin-address", options.m_target.m_address, "IP number of any node");
   app.add_option("--admin-port", options.m_target.m_port, "Its administration port");
-  app.add_option("--token", options.m_target.m_token, "Operator token; FESCUE_TOKEN in the environment by default");
+  app.add_option("--token", options.m_target.m_token,
+                 "Operator token; FESCUE_TOKEN in the environment by default");
   app.add_flag("--json", options.m_json, "Print JSON");
 
   int exit_code = 0;
@@ -33,39 +34,43 @@
     sub->callback([&exit_code, run] { exit_code = run(); });
     return sub;
   };
-  add("validate", "Check an object set and list every mistake", [&] { return fescueramp::Validate(options, file); })
+  add("validate", "Check an object set and list every mistake",
+      [&] { return fescueramp::Validate(options, file); })
       ->add_option("file", file, "Object set, JSON with comments")
       ->required();
   add("diff", "Show what publishing a set would change", [&] { return fescueramp::Diff(options, file); })
       ->add_option("file", file, "Object set, JSON with comments")
       ->required();
-  auto* publish = add("publish", "Check and publish an object set", [&] {
-    return fescueramp::Publish(options, file, revision, name);
-  });
+  auto* publish = add("publish", "Check and publish an object set",
+                      [&] { return fescueramp::Publish(options, file, revision, name); });
   publish->add_option("file", file, "Object set, JSON with comments")->required();
-  publish->add_option("--base", revision, "Revision that the change starts from; the one in force by default");
+  publish->add_option("--base", revision,
+                      "Revision that the change starts from; the one in force by default");
   publish->add_option("--publish-id", name, "Name of this publication; publishing again with it is safe");
-  auto* rollback =
-      add("rollback", "Publish an earlier revision anew", [&] { return fescueramp::Rollback(options, revision); });
+  auto* rollback = add("rollback", "Publish an earlier revision anew",
+                       [&] { return fescueramp::Rollback(options, revision); });
   rollback->add_option("revision", revision, "Revision to return to")->required();
   add("history", "List publications", [&] { return fescueramp::History(options); });
   add("get", "Print the object set in force", [&] { return fescueramp::Get(options); });
-  add("config-status", "List the revision in force by node", [&] { return fescueramp::ConfigStatus(options); });
+  add("config-status", "List the revision in force by node",
+      [&] { return fescueramp::ConfigStatus(options); });
   add("status", "Show services, queues and endpoints", [&] { return fescueramp::Status(options); });
   auto* explain = add("explain", "Tell why a request was served when it was",
                       [&] { return fescueramp::Explain(options, name, versus); });
   explain->add_option("request", name, "Request id, from the answer's Fescue-Request-Id")->required();
   explain->add_option("--versus", versus, "Another request to compare with");
   for (const char* order : {"drain", "eject", "restore"}) {
-    add(order, "Change what is wanted of an endpoint, by publishing", [&, order] {
-      return fescueramp::OrderEndpoint(options, order, name);
-    })->add_option("endpoint", name, "Name of the endpoint")->required();
+    add(order, "Change what is wanted of an endpoint, by publishing",
+        [&, order] { return fescueramp::OrderEndpoint(options, order, name); })
+        ->add_option("endpoint", name, "Name of the endpoint")
+        ->required();
   }
   auto* receipt = add("verify-receipt", "Check the receipt that came with an answer",
                       [&] { return fescueramp::CheckReceipt(options, name, file); });
   receipt->add_option("receipt", name, "Value of Fescue-Receipt")->required();
   receipt->add_option("--key-file", file, "File with the receipt key")->required();
-  add("replay", "Run a recorded trace and show changed effects", [&] { return fescueramp::Replay(options, file); })
+  add("replay", "Run a recorded trace and show changed effects",
+      [&] { return fescueramp::Replay(options, file); })
       ->add_option("trace", file, "Trace file")
       ->required();
   add("schema", "Print every object and field as Markdown", [] { return fescueramp::PrintSchema(); });
@@ -77,8 +82,8 @@
     const int code = app.exit(error);
     return code == 0 ? 0 : kExitUsage;
   } catch (const fescueramp::Error& error) {
-    std::cerr << "fescuectl: " << static_cast<int>(error.Code()) << " " << fescueramp::Info(error.Code()).m_name
-              << ": " << error.what() << "\n";
+    std::cerr << "fescuectl: " << static_cast<int>(error.Code()) << " "
+              << fescueramp::Info(error.Code()).m_name << ": " << error.what() << "\n";
     return 1;
   } catch (const std::exception& error) {
     std::cerr << "fescuectl: " << error.what() << "\n";
--- a/fescueramp/claims/claim_keeper.cc
+++ b/fescueramp/claims/claim_keeper.cc
@@ -31,7 +31,8 @@
 
 }  // namespace
 
-ClaimKeeper::ClaimKeeper(std::string group, std::string node, ClaimSettings settings, std::int64_t& operations)
+ClaimKeeper::ClaimKeeper(std::string group, std::string node, ClaimSettings settings,
+                         std::int64_t& operations)
     : m_group(std::move(group)), m_node(std::move(node)), m_settings(settings), m_operations(operations) {}
 
 std::int64_t ClaimKeeper::ExpiryOf(Instant now) const { return UnixSeconds(now + m_settings.m_window); }
@@ -50,7 +51,8 @@
   m_waiting.push_back(claim);
 }
 
-void ClaimKeeper::Complete(std::uint64_t key, const std::string& request_id, std::int64_t status, Instant now) {
+void ClaimKeeper::Complete(std::uint64_t key, const std::string& request_id, std::int64_t status,
+                           Instant now) {
   m_updates.push_back({key, ClaimId(request_id), ClaimState::kDone, status, ExpiryOf(now)});
   Apply({m_updates.back()});
 }
@@ -165,7 +167,8 @@
   std::erase_if(m_abandoned, [&](const Waiting& claim) {
     const auto known = m_known.find(claim.m_key);
     const bool in_log = known != m_known.end() && known->second.m_claim == ClaimId(claim.m_request_id);
-    if (in_log && known->second.m_state == ClaimState::kClaimed) Release(claim.m_key, claim.m_request_id, now);
+    if (in_log && known->second.m_state == ClaimState::kClaimed)
+      Release(claim.m_key, claim.m_request_id, now);
     return in_log || now - claim.m_asked > kLateWriteMemory;
   });
 }
@@ -190,8 +193,10 @@
   m_phase = Phase::kReady;
   Apply(m_record.m_entries);
   for (const auto& claim : std::exchange(m_writing, {})) {
-    if (claim.m_given_up) Release(claim.m_key, claim.m_request_id, now);
-    else Answer(claim, ClaimVerdict::kGranted);
+    if (claim.m_given_up)
+      Release(claim.m_key, claim.m_request_id, now);
+    else
+      Answer(claim, ClaimVerdict::kGranted);
   }
   m_writing_updates.clear();
 }
@@ -214,7 +219,8 @@
   if (m_next_record.m_entries.size() >= m_settings.m_segment_entries) Seal(now);
   // Ends go before claims: the release of a key must not undo a claim made after it.
   m_writing_updates = std::exchange(m_updates, {});
-  m_next_record.m_entries.insert(m_next_record.m_entries.end(), m_writing_updates.begin(), m_writing_updates.end());
+  m_next_record.m_entries.insert(m_next_record.m_entries.end(), m_writing_updates.begin(),
+                                 m_writing_updates.end());
   for (auto& claim : std::exchange(m_waiting, {})) {
     if (claim.m_given_up || AnswerFromMemory(claim)) continue;
     m_next_record.m_entries.push_back(
@@ -234,7 +240,8 @@
   std::int64_t expires = 0;
   for (const auto& entry : m_next_record.m_entries) expires = std::max(expires, entry.m_expires_s);
   m_pending_operation = ++m_operations;
-  const std::string id = std::to_string(m_next_record.m_epoch) + "-" + std::to_string(m_version) + "-" + m_node;
+  const std::string id =
+      std::to_string(m_next_record.m_epoch) + "-" + std::to_string(m_version) + "-" + m_node;
   m_effects.emplace_back(
       StorePut{m_pending_operation, SegmentKey(id), 0, json::serialize(ToJson(m_next_record.m_entries))});
   m_next_record.m_entries.clear();
--- a/fescueramp/claims/claim_keeper.h
+++ b/fescueramp/claims/claim_keeper.h
@@ -18,9 +18,10 @@
 struct ClaimSettings {
   Duration m_batch_interval = std::chrono::milliseconds(20);  ///< Shortest time between two writes.
   Duration m_patience = std::chrono::milliseconds(1500);      ///< Longest wait for the store.
-  Duration m_retry_interval = std::chrono::milliseconds(200);  ///< Time between tries while the store is away.
-  Duration m_window = std::chrono::hours(24);                 ///< Time for which a key is remembered.
-  std::size_t m_segment_entries = 256;                        ///< Entries after which the log's head is sealed.
+  Duration m_retry_interval =
+      std::chrono::milliseconds(200);          ///< Time between tries while the store is away.
+  Duration m_window = std::chrono::hours(24);  ///< Time for which a key is remembered.
+  std::size_t m_segment_entries = 256;         ///< Entries after which the log's head is sealed.
 };
 
 /// What became of one claim.
@@ -123,8 +124,8 @@
   std::unordered_map<std::uint64_t, ClaimEntry> m_known;
   std::set<std::string> m_loaded_segments;
   std::vector<std::string> m_segments_to_read;
-  std::vector<Waiting> m_waiting;  ///< Claims not yet part of a write.
-  std::vector<Waiting> m_writing;  ///< Claims of a write whose effect is not known.
+  std::vector<Waiting> m_waiting;     ///< Claims not yet part of a write.
+  std::vector<Waiting> m_writing;     ///< Claims of a write whose effect is not known.
   std::vector<ClaimEntry> m_updates;  ///< Ends of work not yet part of a write.
   std::vector<ClaimEntry> m_writing_updates;
   std::vector<Waiting> m_abandoned;  ///< Claims given up whose write may yet take effect.
--- a/fescueramp/claims/claim_record.h
+++ b/fescueramp/claims/claim_record.h
@@ -23,8 +23,8 @@
 
 /// One line of the claim log; a later line for the same key replaces an earlier one.
 struct ClaimEntry {
-  std::uint64_t m_key = 0;       ///< Hash of service, account and idempotency key.
-  std::uint64_t m_claim = 0;     ///< Hash of the request that made the claim.
+  std::uint64_t m_key = 0;    ///< Hash of service, account and idempotency key.
+  std::uint64_t m_claim = 0;  ///< Hash of the request that made the claim.
   ClaimState m_state = ClaimState::kClaimed;
   std::int64_t m_status = 0;     ///< HTTP status with which the work ended; 0 if not known.
   std::int64_t m_expires_s = 0;  ///< Unix time from which the key is forgotten, seconds.
--- a/fescueramp/config/object_set.cc
+++ b/fescueramp/config/object_set.cc
@@ -16,6 +16,13 @@
 constexpr std::size_t kMaxNameLength = 128;
 constexpr std::size_t kSha256HexLength = 64;
 
+bool IsGoodName(std::string_view name) {
+  const auto good = [](unsigned char c) {
+    return std::isalnum(c) || c == '.' || c == '_' || c == '-' || c == '/';
+  };
+  return !name.empty() && name.size() <= kMaxNameLength && std::all_of(name.begin(), name.end(), good);
+}
+
 /// Collects mistakes while a set is read and checked.
 class SetReader {
  public:
@@ -26,7 +33,8 @@
       return std::move(m_result);
     }
     RejectUnknownKinds(*object);
-    ForEachKind(m_result.m_set, [&](std::string_view kind, auto& objects) { ReadKind(*object, kind, objects); });
+    ForEachKind(m_result.m_set,
+                [&](std::string_view kind, auto& objects) { ReadKind(*object, kind, objects); });
     CheckSet();
     return std::move(m_result);
   }
@@ -56,7 +64,7 @@
     if (!value->is_object()) return Add(std::string(kind), "", "not an object", "objects by name");
     for (const auto& [name, body] : value->get_object()) {
       const std::string id = std::string(kind) + "/" + std::string(name);
-      if (name.empty() || name.size() > kMaxNameLength) Add(id, "", "bad name", "1 to 128 characters");
+      if (!IsGoodName(name)) Add(id, "", "bad name", "1 to 128 letters, digits and . _ - /");
       if (!body.is_object()) {
         Add(id, "", "not an object", "an object with the fields of its kind");
         continue;
@@ -67,14 +75,16 @@
 
   template <typename T>
   void ReadFields(const std::string& id, const json::object& body, T& object) {
-    for (const auto& [key, value] : body) {
+    for (const auto& member : body) {
+      const std::string_view key = member.key();
+      const json::value& value = member.value();
       const auto& fields = Schema<T>();
       const auto field =
-          std::find_if(fields.begin(), fields.end(), [&](const auto& f) { return f.m_name == std::string_view(key); });
+          std::find_if(fields.begin(), fields.end(), [&](const auto& f) { return f.m_name == key; });
       if (field == fields.end()) {
         Add(id, key, "unknown field", FieldNames<T>());
       } else {
-        std::visit([&](auto member) { ReadValue(id, *field, value, object.*member); }, field->m_member);
+        std::visit([&](auto pointer) { ReadValue(id, *field, value, object.*pointer); }, field->m_member);
       }
     }
     for (const auto& field : Schema<T>()) {
@@ -94,7 +104,8 @@
   }
 
   template <typename T, typename Value>
-  void ReadValue(const std::string& id, const FieldSpec<T>& field, const json::value& json_value, Value& value) {
+  void ReadValue(const std::string& id, const FieldSpec<T>& field, const json::value& json_value,
+                 Value& value) {
     try {
       value = FromJson<Value>(json_value);
     } catch (const Error&) {
@@ -102,7 +113,8 @@
       if constexpr (std::is_floating_point_v<Value> || std::is_same_v<Value, std::int64_t>) {
         accepted = "a number, " + Range(field);
       }
-      return Add(id, field.m_name, "wrong type or name: " + json::serialize(json_value).substr(0, 60), accepted);
+      return Add(id, field.m_name, "wrong type or name: " + json::serialize(json_value).substr(0, 60),
+                 accepted);
     }
     if constexpr (std::is_floating_point_v<Value> || std::is_same_v<Value, std::int64_t>) {
       const auto number = static_cast<double>(value);
@@ -123,7 +135,8 @@
     ForEachKind(m_result.m_set, [&](std::string_view kind, auto& objects) {
       for (const auto& [name, object] : objects) CheckReferences(std::string(kind) + "/" + name, object);
     });
-    for (const auto& [name, endpoint] : m_result.m_set.m_endpoints) CheckEndpoint("endpoints/" + name, endpoint);
+    for (const auto& [name, endpoint] : m_result.m_set.m_endpoints)
+      CheckEndpoint("endpoints/" + name, endpoint);
     for (const auto& [name, pool] : m_result.m_set.m_pools) CheckPool("pools/" + name, pool);
     for (const auto& [name, service] : m_result.m_set.m_services) CheckFloor("services/" + name, service);
     CheckAccounts();
@@ -138,22 +151,26 @@
           [&](auto member) {
             using Value = std::decay_t<decltype(object.*member)>;
             if constexpr (std::is_same_v<Value, std::string>) {
-              if (!(object.*member).empty()) CheckReference(id, field.m_name, field.m_refers_to, object.*member);
+              if (!(object.*member).empty())
+                CheckReference(id, field.m_name, field.m_refers_to, object.*member);
             } else if constexpr (std::is_same_v<Value, std::vector<std::string>>) {
-              for (const auto& name : object.*member) CheckReference(id, field.m_name, field.m_refers_to, name);
+              for (const auto& name : object.*member)
+                CheckReference(id, field.m_name, field.m_refers_to, name);
             }
           },
           field.m_member);
     }
   }
 
-  void CheckReference(const std::string& id, std::string_view field, std::string_view kind, const std::string& name) {
+  void CheckReference(const std::string& id, std::string_view field, std::string_view kind,
+                      const std::string& name) {
     bool found = false;
     ForEachKind(m_result.m_set, [&](std::string_view other, const auto& objects) {
       found = found || (other == kind && objects.contains(name));
     });
     if (!found) {
-      Add(id, field, "\"" + name + "\" does not exist in " + std::string(kind), "a name in " + std::string(kind));
+      Add(id, field, "\"" + name + "\" does not exist in " + std::string(kind),
+          "a name in " + std::string(kind));
     }
   }
 
@@ -164,7 +181,8 @@
       Add(id, "address", "\"" + endpoint.m_address + "\" is not an IP number", "an IPv4 or IPv6 number");
     }
     const std::string socket = endpoint.m_address + " port " + std::to_string(endpoint.m_port);
-    if (!m_sockets.insert(socket).second) Add(id, "port", "another endpoint has " + socket, "a socket of its own");
+    if (!m_sockets.insert(socket).second)
+      Add(id, "port", "another endpoint has " + socket, "a socket of its own");
   }
 
   void CheckPool(const std::string& id, const Pool& pool) {
@@ -174,7 +192,8 @@
     }
     for (const auto& name : pool.m_endpoints) {
       if (!m_pooled.insert(name).second) {
-        Add(id, "endpoints", "\"" + name + "\" is listed twice or in two pools", "each endpoint in one pool, once");
+        Add(id, "endpoints", "\"" + name + "\" is listed twice or in two pools",
+            "each endpoint in one pool, once");
       }
     }
   }
@@ -220,7 +239,8 @@
       if (!route.m_path_prefix.starts_with('/')) Add(id, "path_prefix", "does not begin with /", "a path");
       const std::string match = route.m_method + " " + route.m_path_prefix;
       if (const auto [owner, added] = owners.emplace(match, name); !added) {
-        Add(id, "path_prefix", "matches the same requests as route \"" + owner->second + "\"", "another match");
+        Add(id, "path_prefix", "matches the same requests as route \"" + owner->second + "\"",
+            "another match");
       }
     }
   }
--- a/fescueramp/config/object_set.h
+++ b/fescueramp/config/object_set.h
@@ -1,11 +1,10 @@
 #pragma once
 
+#include <boost/describe.hpp>
 #include <string>
 #include <string_view>
 #include <vector>
 
-#include <boost/describe.hpp>
-
 #include "fescueramp/config/objects.h"
 
 namespace fescueramp {
--- a/fescueramp/config/objects.h
+++ b/fescueramp/config/objects.h
@@ -29,27 +29,27 @@
 
 /// One server that runs work.
 struct Endpoint {
-  std::string m_address;                                 ///< IP number.
-  std::int64_t m_port = 0;                               ///< TCP port.
-  std::string m_zone;                                    ///< Availability zone.
-  AdminState m_admin_state = AdminState::kInService;     ///< What the operator wants of it.
+  std::string m_address;                              ///< IP number.
+  std::int64_t m_port = 0;                            ///< TCP port.
+  std::string m_zone;                                 ///< Availability zone.
+  AdminState m_admin_state = AdminState::kInService;  ///< What the operator wants of it.
 };
 
 /// Endpoints that are alike.
 struct Pool {
-  std::vector<std::string> m_endpoints;     ///< Names of endpoints.
-  std::int64_t m_slots = 2;                 ///< Requests that one endpoint runs at once.
-  std::int64_t m_max_connections = 330;     ///< Connections that one endpoint accepts.
+  std::vector<std::string> m_endpoints;  ///< Names of endpoints.
+  std::int64_t m_slots = 2;              ///< Requests that one endpoint runs at once.
+  std::int64_t m_max_connections = 330;  ///< Connections that one endpoint accepts.
 };
 
 /// Work that one pool does for callers.
 struct Service {
-  std::string m_pool;                                            ///< Name of a pool.
-  double m_floor = 0.5;                                          ///< Share of slots that ejections must leave.
-  double m_retry_ratio = 0.1;                                    ///< Retries allowed per finished request.
-  std::int64_t m_progress_timeout_ms = 2000;                     ///< Silence after which a connection is checked, ms.
-  std::int64_t m_max_queued = 10000;                             ///< Requests queued at once.
-  StoreAwayPolicy m_store_away = StoreAwayPolicy::kRefuse;       ///< Non-repeatable work without the store.
+  std::string m_pool;                         ///< Name of a pool.
+  double m_floor = 0.5;                       ///< Share of slots that ejections must leave.
+  double m_retry_ratio = 0.1;                 ///< Retries allowed per finished request.
+  std::int64_t m_progress_timeout_ms = 2000;  ///< Silence after which a connection is checked, ms.
+  std::int64_t m_max_queued = 10000;          ///< Requests queued at once.
+  StoreAwayPolicy m_store_away = StoreAwayPolicy::kRefuse;  ///< Non-repeatable work without the store.
 };
 
 /// Class of requests: its order, its share of slots and its value.
@@ -69,7 +69,8 @@
 
 /// Caller account.
 struct Account {
-  std::string m_key_sha256;         ///< SHA-256 of the account's API key, hexadecimal; empty for callers without one.
+  std::string
+      m_key_sha256;  ///< SHA-256 of the account's API key, hexadecimal; empty for callers without one.
   std::string m_group = "default";  ///< Group under which the account appears in metrics.
   double m_weight = 1.0;            ///< Share of slots relative to the other accounts of a class.
   std::string m_limit;              ///< Name of a limit; empty for none.
@@ -77,12 +78,12 @@
 
 /// Rule that sends requests to a service.
 struct Route {
-  std::string m_method;                  ///< HTTP method; empty for any.
-  std::string m_path_prefix = "/";       ///< Longest matching prefix wins.
-  std::string m_service;                 ///< Name of a service.
-  std::string m_priority;                ///< Name of a priority.
-  bool m_repeatable = true;              ///< Whether running the work twice does no harm.
-  std::int64_t m_deadline_ms = 10000;    ///< Time from arrival to the end of the answer, ms.
+  std::string m_method;                      ///< HTTP method; empty for any.
+  std::string m_path_prefix = "/";           ///< Longest matching prefix wins.
+  std::string m_service;                     ///< Name of a service.
+  std::string m_priority;                    ///< Name of a priority.
+  bool m_repeatable = true;                  ///< Whether running the work twice does no harm.
+  std::int64_t m_deadline_ms = 10000;        ///< Time from arrival to the end of the answer, ms.
   std::int64_t m_max_body_bytes = 67108864;  ///< Largest request body, bytes.
 };
 
--- a/fescueramp/config/partition.cc
+++ b/fescueramp/config/partition.cc
@@ -26,7 +26,8 @@
   for (const auto& [kind, objects] : root.as_object()) {
     const std::size_t buckets = BucketsFor(objects.as_object().size());
     std::vector<json::object> bodies(buckets);
-    for (const auto& [name, body] : objects.as_object()) bodies[Hash64(std::string_view(name)) % buckets][name] = body;
+    for (const auto& [name, body] : objects.as_object())
+      bodies[Hash64(std::string_view(name)) % buckets][name] = body;
     for (auto& body : bodies) {
       if (body.empty()) continue;
       std::string text = json::serialize(json::object{{std::string_view(kind), std::move(body)}});
--- a/fescueramp/config/partition.h
+++ b/fescueramp/config/partition.h
@@ -23,10 +23,10 @@
 /// One publication.
 struct Publication {
   std::int64_t m_revision = 0;
-  std::string m_publish_id;   ///< Chosen by the publisher; tells a lost answer from a lost race.
+  std::string m_publish_id;  ///< Chosen by the publisher; tells a lost answer from a lost race.
   std::string m_author;
   std::int64_t m_time_ms = 0;  ///< Unix time, ms.
-  std::string m_manifest;     ///< Hash of the manifest's text.
+  std::string m_manifest;      ///< Hash of the manifest's text.
 };
 BOOST_DESCRIBE_STRUCT(Publication, (), (m_revision, m_publish_id, m_author, m_time_ms, m_manifest))
 
--- a/fescueramp/config/schema.cc
+++ b/fescueramp/config/schema.cc
@@ -102,7 +102,8 @@
 template <>
 const std::vector<FieldSpec<Limit>>& Schema<Limit>() {
   static const std::vector<FieldSpec<Limit>> kFields = {
-      {"rate", &Limit::m_rate, "requests/s", 0, 1e6, false, "", "Requests a second per entry host; 0 for no bound."},
+      {"rate", &Limit::m_rate, "requests/s", 0, 1e6, false, "",
+       "Requests a second per entry host; 0 for no bound."},
       {"burst", &Limit::m_burst, "requests", 1, 1e6, false, "", "Requests above the rate at once."},
       {"max_concurrent", &Limit::m_max_concurrent, "requests", 0, 1e6, false, "",
        "Requests open at once per entry host; 0 for no bound."},
@@ -115,7 +116,8 @@
   static const std::vector<FieldSpec<Account>> kFields = {
       {"key_sha256", &Account::m_key_sha256, "hexadecimal", 0, 0, false, "",
        "SHA-256 of the API key; empty for callers that present none."},
-      {"group", &Account::m_group, "name", 0, 0, false, "", "Group under which the account appears in metrics."},
+      {"group", &Account::m_group, "name", 0, 0, false, "",
+       "Group under which the account appears in metrics."},
       {"weight", &Account::m_weight, "ratio", 0.01, 1000, false, "",
        "Share of slots relative to the other accounts of a class."},
       {"limit", &Account::m_limit, "name", 0, 0, false, "limits", "Limit of the account; empty for none."},
@@ -126,7 +128,8 @@
 template <>
 const std::vector<FieldSpec<Route>>& Schema<Route>() {
   static const std::vector<FieldSpec<Route>> kFields = {
-      {"method", &Route::m_method, "HTTP method", 0, 0, false, "", "Method that the route matches; empty for any."},
+      {"method", &Route::m_method, "HTTP method", 0, 0, false, "",
+       "Method that the route matches; empty for any."},
       {"path_prefix", &Route::m_path_prefix, "path", 0, 0, true, "", "The longest matching prefix wins."},
       {"service", &Route::m_service, "name", 0, 0, true, "services", "Service that does the work."},
       {"priority", &Route::m_priority, "name", 0, 0, true, "priorities", "Class of the requests."},
--- a/fescueramp/core/hash.cc
+++ b/fescueramp/core/hash.cc
@@ -21,7 +21,9 @@
 
 }  // namespace
 
-std::uint64_t Hash64(std::string_view text, std::uint64_t seed) { return XXH64(text.data(), text.size(), seed); }
+std::uint64_t Hash64(std::string_view text, std::uint64_t seed) {
+  return XXH64(text.data(), text.size(), seed);
+}
 
 std::string Sha256Hex(std::string_view text) {
   std::array<unsigned char, SHA256_DIGEST_LENGTH> digest{};
@@ -32,8 +34,8 @@
 std::string HmacHex(std::string_view key, std::string_view text, std::size_t hex_digits) {
   std::array<unsigned char, EVP_MAX_MD_SIZE> digest{};
   unsigned int size = 0;
-  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()), reinterpret_cast<const unsigned char*>(text.data()),
-       text.size(), digest.data(), &size);
+  HMAC(EVP_sha256(), key.data(), static_cast<int>(key.size()),
+       reinterpret_cast<const unsigned char*>(text.data()), text.size(), digest.data(), &size);
   return ToHex(digest.data(), size).substr(0, hex_digits);
 }
 
--- a/fescueramp/core/json_codec.h
+++ b/fescueramp/core/json_codec.h
@@ -50,7 +50,8 @@
 }
 
 template <typename T>
-using Members = boost::describe::describe_members<T, boost::describe::mod_public | boost::describe::mod_inherited>;
+using Members =
+    boost::describe::describe_members<T, boost::describe::mod_public | boost::describe::mod_inherited>;
 
 }  // namespace json_codec_detail
 
@@ -143,7 +144,8 @@
     } else {
       if (const auto* text = value.if_string()) return T(*text);
     }
-    throw Error(ResultCode::kMalformedRequest, "value of the wrong type: " + json::serialize(value).substr(0, 80));
+    throw Error(ResultCode::kMalformedRequest,
+                "value of the wrong type: " + json::serialize(value).substr(0, 80));
   }
 }
 
--- a/fescueramp/core/result_code.cc
+++ b/fescueramp/core/result_code.cc
@@ -9,7 +9,8 @@
 
 constexpr std::array kTable = {
     ResultInfo{ResultCode::kOk, "OK", 200, "Done."},
-    ResultInfo{ResultCode::kMalformedRequest, "MALFORMED_REQUEST", 400, "The request could not be read. Correct it."},
+    ResultInfo{ResultCode::kMalformedRequest, "MALFORMED_REQUEST", 400,
+               "The request could not be read. Correct it."},
     ResultInfo{ResultCode::kNoRoute, "NO_ROUTE", 404, "No route matches the method and path."},
     ResultInfo{ResultCode::kUnknownAccount, "UNKNOWN_ACCOUNT", 401, "The API key belongs to no account."},
     ResultInfo{ResultCode::kMissingIdempotencyKey, "MISSING_IDEMPOTENCY_KEY", 400,
@@ -18,7 +19,8 @@
                "The account is above its rate. This attempt was not run. Retry after the stated time."},
     ResultInfo{ResultCode::kConcurrencyLimited, "CONCURRENCY_LIMITED", 429,
                "The account has too many requests open. This attempt was not run."},
-    ResultInfo{ResultCode::kBodyTooLarge, "BODY_TOO_LARGE", 413, "The body is larger than the route accepts."},
+    ResultInfo{ResultCode::kBodyTooLarge, "BODY_TOO_LARGE", 413,
+               "The body is larger than the route accepts."},
     ResultInfo{ResultCode::kNotReady, "NOT_READY", 503,
                "The node has no configuration yet. This attempt was not run. Retry elsewhere."},
     ResultInfo{ResultCode::kNotRun, "NOT_RUN", 503,
@@ -44,10 +46,12 @@
                "The platform's store did not answer. Publishing again with the same publish id is safe."},
     ResultInfo{ResultCode::kUnauthorized, "UNAUTHORIZED", 401, "The operator token is missing or unknown."},
     ResultInfo{ResultCode::kForbidden, "FORBIDDEN", 403, "The operator's role does not allow this."},
-    ResultInfo{ResultCode::kNotFound, "NOT_FOUND", 404, "There is no such thing here, or it is no longer kept."},
+    ResultInfo{ResultCode::kNotFound, "NOT_FOUND", 404,
+               "There is no such thing here, or it is no longer kept."},
     ResultInfo{ResultCode::kInvalidSettings, "INVALID_SETTINGS", 422, "The settings file has mistakes."},
     ResultInfo{ResultCode::kInvalidTrace, "INVALID_TRACE", 422, "The trace file cannot be read."},
-    ResultInfo{ResultCode::kReceiptInvalid, "RECEIPT_INVALID", 422, "The receipt was not made with this key."},
+    ResultInfo{ResultCode::kReceiptInvalid, "RECEIPT_INVALID", 422,
+               "The receipt was not made with this key."},
     ResultInfo{ResultCode::kUsage, "USAGE", 400, "The command or query is not understood."},
 };
 
@@ -56,7 +60,8 @@
 std::span<const ResultInfo> ResultTable() { return kTable; }
 
 const ResultInfo& Info(ResultCode code) {
-  const auto* row = std::find_if(kTable.begin(), kTable.end(), [&](const auto& r) { return r.m_code == code; });
+  const auto* row =
+      std::find_if(kTable.begin(), kTable.end(), [&](const auto& r) { return r.m_code == code; });
   assert(row != kTable.end());
   return *row;
 }
--- a/fescueramp/daemon/admin_api.cc
+++ b/fescueramp/daemon/admin_api.cc
@@ -76,7 +76,8 @@
   try {
     const Target target = ParseTarget(exchange->Head().m_target);
     if (body.size() > kMaxBody) throw Error(ResultCode::kBodyTooLarge, "the body is longer than 64 MiB");
-    reply = co_await Route(exchange->Head().m_method, target, std::move(body), FindOperator(exchange->Head()));
+    reply =
+        co_await Route(exchange->Head().m_method, target, std::move(body), FindOperator(exchange->Head()));
   } catch (const Error& error) {
     code = error.Code();
     problem = error.what();
@@ -117,7 +118,8 @@
   if (target.m_path == "/v1/objects") {
     const auto& table = m_context.m_reducer->Table();
     if (!table) co_return Result(ResultCode::kNotReady);
-    const json::object body{{"revision", table->Revision()}, {"set", ParseJson(SerializeObjectSet(table->Set()))}};
+    const json::object body{{"revision", table->Revision()},
+                            {"set", ParseJson(SerializeObjectSet(table->Set()))}};
     co_return JsonReply(body);
   }
   co_return Result(ResultCode::kNotFound);
@@ -130,7 +132,8 @@
   return Result(result.m_code, std::move(extra));
 }
 
-asio::awaitable<AdminApi::Reply> AdminApi::WriteRoute(Target target, std::string body, const OperatorToken* who) {
+asio::awaitable<AdminApi::Reply> AdminApi::WriteRoute(Target target, std::string body,
+                                                      const OperatorToken* who) {
   if (target.m_path == "/v1/validate") {
     const ParsedObjectSet parsed = ParseObjectSet(body);
     const bool good = parsed.m_mistakes.empty();
@@ -142,7 +145,8 @@
   PublishResult result;
   if (target.m_path == "/v1/publish") {
     const std::int64_t base = ToNumber(target.m_query["base"]);
-    result = co_await m_context.m_config->Publish({base, publish_id, who->m_name, std::move(body)});
+    PublishRequest request{base, publish_id, who->m_name, std::move(body)};
+    result = co_await m_context.m_config->Publish(std::move(request));
   } else if (target.m_path == "/v1/rollback") {
     const std::int64_t to = ToNumber(target.m_query["to"]);
     result = co_await m_context.m_config->Rollback(to, publish_id, who->m_name);
@@ -150,7 +154,8 @@
     co_return Result(ResultCode::kNotFound);
   }
   if (result.m_code == ResultCode::kOk) {
-    LOG(INFO) << "operator " << who->m_name << " published revision " << result.m_revision << ", id " << publish_id;
+    LOG(INFO) << "operator " << who->m_name << " published revision " << result.m_revision << ", id "
+              << publish_id;
   }
   co_return PublishReply(result);
 }
@@ -187,7 +192,8 @@
 std::optional<std::string> AdminApi::AnswerQuery(const std::string& question) const {
   const auto rest = [&](std::string_view prefix) { return question.substr(prefix.size()); };
   if (question == "status") return json::serialize(ToJson(Status()));
-  if (question.starts_with("journal/")) return json::serialize(ToJson(m_context.m_journal->Find(rest("journal/"))));
+  if (question.starts_with("journal/"))
+    return json::serialize(ToJson(m_context.m_journal->Find(rest("journal/"))));
   if (question.starts_with("service/")) return json::serialize(ToJson(StatusOf(rest("service/"))));
   return std::nullopt;
 }
@@ -195,13 +201,15 @@
 asio::awaitable<std::optional<std::string>> AdminApi::Ask(Member member, std::string question) {
   if (member.m_node == m_context.m_settings->m_node) co_return AnswerQuery(question);
   try {
-    const auto link = co_await m_context.m_links->Get(member.m_address, static_cast<std::uint16_t>(member.m_link_port));
+    const auto link =
+        co_await m_context.m_links->Get(member.m_address, static_cast<std::uint16_t>(member.m_link_port));
     const std::string path = wire::kQueryPath + question;
     const std::string auth = wire::AuthCode(m_context.m_settings->m_link_keys.front(), path);
     const auto stream = link->Open(path, {{wire::kAuthField, auth}}, false);
     co_await stream->WaitHeaders();
     std::string text;
-    for (std::string part = co_await stream->Read(); !part.empty(); part = co_await stream->Read()) text += part;
+    for (std::string part = co_await stream->Read(); !part.empty(); part = co_await stream->Read())
+      text += part;
     co_return text;
   } catch (const LinkError&) {
     co_return std::nullopt;
@@ -214,7 +222,8 @@
   for (const auto& [name, member] : members) {
     json::object node{{"node", name}, {"state", EnumName(member.m_state)}, {"zone", member.m_zone}};
     const bool gone = member.m_state == MemberState::kDead || member.m_state == MemberState::kLeft;
-    const auto text = gone ? std::nullopt : co_await Ask(member, "status");
+    std::optional<std::string> text;
+    if (!gone) text = co_await Ask(member, "status");
     node["reachable"] = text.has_value();
     if (text) {
       const auto status = FromJson<NodeStatus>(ParseJson(*text));
@@ -263,7 +272,8 @@
 
 asio::awaitable<AdminApi::Reply> AdminApi::Explain(Target target) {
   const auto first = co_await FindRecords(target.m_query["id"]);
-  if (first.empty()) throw Error(ResultCode::kNotFound, "no node keeps a record of \"" + target.m_query["id"] + "\"");
+  if (first.empty())
+    throw Error(ResultCode::kNotFound, "no node keeps a record of \"" + target.m_query["id"] + "\"");
   json::object body{{"records", ToJson(first)}, {"sentences", ToJson(ExplainRequest(first))}};
   if (const std::string versus = target.m_query["versus"]; !versus.empty()) {
     const auto second = co_await FindRecords(versus);
--- a/fescueramp/daemon/admin_api.h
+++ b/fescueramp/daemon/admin_api.h
@@ -29,8 +29,8 @@
   std::vector<DispatcherLoad> m_dispatchers;
 };
 BOOST_DESCRIBE_STRUCT(NodeStatus, (),
-                      (m_node, m_zone, m_revision, m_ready, m_leaving, m_store_available, m_store_calls, m_members,
-                       m_dispatchers))
+                      (m_node, m_zone, m_revision, m_ready, m_leaving, m_store_available, m_store_calls,
+                       m_members, m_dispatchers))
 
 /// Endpoints of one service, as its dispatcher sees them.
 struct ServiceStatus {
--- a/fescueramp/daemon/config_service.cc
+++ b/fescueramp/daemon/config_service.cc
@@ -16,13 +16,24 @@
 const std::string kStorePrefix = "config/";
 const std::string kHeadName = "head";
 
+// GCC 12 destroys an aggregate built inside a co_await expression twice, so these build theirs outside of
+// one.
+asio::awaitable<StoreAnswered> ReadStore(StoreClient& store, const std::string& name) {
+  return store.Get(StoreGet{0, kStorePrefix + name});
+}
+
+asio::awaitable<StoreAnswered> WriteStore(StoreClient& store, const std::string& name, std::int64_t version,
+                                          std::string value) {
+  return store.Put(StorePut{0, kStorePrefix + name, version, std::move(value)});
+}
+
 /// Reads from the platform's store.
 class StoreSource final : public PartSource {
  public:
   explicit StoreSource(StoreClient& store) : m_store(store) {}
 
   asio::awaitable<std::optional<std::string>> Read(std::string name) override {
-    const StoreAnswered answer = co_await m_store.Get({0, kStorePrefix + name});
+    const StoreAnswered answer = co_await ReadStore(m_store, name);
     if (answer.m_status != StoreStatus::kOk) co_return std::nullopt;
     co_return answer.m_value;
   }
@@ -43,7 +54,8 @@
       co_await stream->WaitHeaders();
       if (FindHeader(stream->Headers(), ":status") != "200") co_return std::nullopt;
       std::string text;
-      for (std::string part = co_await stream->Read(); !part.empty(); part = co_await stream->Read()) text += part;
+      for (std::string part = co_await stream->Read(); !part.empty(); part = co_await stream->Read())
+        text += part;
       co_return text;
     } catch (const LinkError&) {
       co_return std::nullopt;
@@ -79,7 +91,12 @@
 
 ConfigService::ConfigService(const asio::any_io_executor& executor, const Clock& clock, EventSink& sink,
                              StoreClient& store, LinkPool& links, const std::vector<std::string>& link_keys)
-    : m_executor(executor), m_clock(clock), m_sink(sink), m_store(store), m_links(links), m_link_keys(link_keys) {}
+    : m_executor(executor),
+      m_clock(clock),
+      m_sink(sink),
+      m_store(store),
+      m_links(links),
+      m_link_keys(link_keys) {}
 
 asio::awaitable<std::optional<std::string>> ConfigService::ReadChecked(PartSource& source, std::string kind,
                                                                        std::string hash) {
@@ -89,7 +106,8 @@
   co_return text;
 }
 
-asio::awaitable<std::optional<std::string>> ConfigService::ReadSet(PartSource& source, std::string manifest_hash) {
+asio::awaitable<std::optional<std::string>> ConfigService::ReadSet(PartSource& source,
+                                                                   std::string manifest_hash) {
   const auto manifest_text = co_await ReadChecked(source, "manifest", manifest_hash);
   const auto manifest = TryParse<Manifest>(manifest_text);
   if (!manifest) co_return std::nullopt;
@@ -97,8 +115,10 @@
   std::vector<std::string> texts;
   for (const auto& hash : manifest->m_parts) {
     std::optional<std::string> text;
-    if (const auto known = m_parts.find(hash); known != m_parts.end()) text = known->second;
-    else text = co_await ReadChecked(source, "part", hash);
+    if (const auto known = m_parts.find(hash); known != m_parts.end())
+      text = known->second;
+    else
+      text = co_await ReadChecked(source, "part", hash);
     if (!text) co_return std::nullopt;
     texts.push_back(*text);
     parts[hash] = std::move(*text);
@@ -170,15 +190,16 @@
   return std::nullopt;
 }
 
-asio::awaitable<bool> ConfigService::StoreParts(const std::vector<SetPart>& parts, const std::string& manifest_text) {
+asio::awaitable<bool> ConfigService::StoreParts(const std::vector<SetPart>& parts,
+                                                const std::string& manifest_text) {
   // Values are named by their content, so a conflict means that they are there already.
   for (const auto& part : parts) {
     if (m_parts.contains(part.m_hash)) continue;
-    const StoreAnswered answer = co_await m_store.Put({0, kStorePrefix + "part/" + part.m_hash, 0, part.m_text});
+    const StoreAnswered answer = co_await WriteStore(m_store, "part/" + part.m_hash, 0, part.m_text);
     if (answer.m_status == StoreStatus::kUnavailable) co_return false;
   }
   const StoreAnswered answer =
-      co_await m_store.Put({0, kStorePrefix + "manifest/" + ContentHash(manifest_text), 0, manifest_text});
+      co_await WriteStore(m_store, "manifest/" + ContentHash(manifest_text), 0, manifest_text);
   co_return answer.m_status != StoreStatus::kUnavailable;
 }
 
@@ -213,34 +234,29 @@
   Manifest manifest;
   for (const auto& part : parts) manifest.m_parts.push_back(part.m_hash);
   const std::string manifest_text = json::serialize(ToJson(manifest));
-  const StoreAnswered found = co_await m_store.Get({0, kStorePrefix + kHeadName});
-  if (found.m_status == StoreStatus::kUnavailable || !co_await StoreParts(parts, manifest_text)) {
+  if (!co_await StoreParts(parts, manifest_text)) {
     result.m_code = ResultCode::kStoreUnavailable;
     co_return result;
   }
-  ConfigHead head;
-  if (found.m_status == StoreStatus::kOk) head = TryParse<ConfigHead>(found.m_value).value_or(ConfigHead{});
-  ConfigHead next = head;
-  next.m_current = {0, request.m_publish_id, request.m_author, 0, ContentHash(manifest_text)};
-  co_return co_await SwapHead(std::move(request), std::move(next), found.m_version);
+  Publication wanted{0, request.m_publish_id, request.m_author, 0, ContentHash(manifest_text)};
+  co_return co_await SwapHead(std::move(wanted), request.m_base_revision);
 }
 
-asio::awaitable<PublishResult> ConfigService::SwapHead(PublishRequest request, ConfigHead head, std::int64_t) {
+asio::awaitable<PublishResult> ConfigService::SwapHead(Publication wanted, std::int64_t base_revision) {
   PublishResult result;
-  const Publication wanted = head.m_current;
   for (int swap = 0; swap < kMaxSwaps; ++swap) {
     // Read first: an earlier try may have taken effect although its answer was lost.
-    const StoreAnswered found = co_await m_store.Get({0, kStorePrefix + kHeadName});
+    const StoreAnswered found = co_await ReadStore(m_store, kHeadName);
     if (found.m_status == StoreStatus::kUnavailable) continue;
     const ConfigHead current = TryParse<ConfigHead>(found.m_value).value_or(ConfigHead{});
-    if (HasPublication(current, request.m_publish_id, result.m_revision)) {
+    if (HasPublication(current, wanted.m_publish_id, result.m_revision)) {
       result.m_code = ResultCode::kOk;
       co_await LoadFromStore();
       co_return result;
     }
-    if (current.m_current.m_revision != request.m_base_revision) {
+    if (current.m_current.m_revision != base_revision) {
       std::string base_text;
-      if (m_head.m_current.m_revision == request.m_base_revision && request.m_base_revision > 0) {
+      if (m_head.m_current.m_revision == base_revision && base_revision > 0) {
         StoreSource source(m_store);
         base_text = (co_await ReadSet(source, m_head.m_current.m_manifest)).value_or("");
       }
@@ -253,7 +269,7 @@
     next.m_current.m_revision = current.m_current.m_revision + 1;
     next.m_current.m_time_ms =
         std::chrono::duration_cast<std::chrono::milliseconds>(m_clock.Now().time_since_epoch()).count();
-    co_await m_store.Put({0, kStorePrefix + kHeadName, found.m_version, json::serialize(ToJson(next))});
+    co_await WriteStore(m_store, kHeadName, found.m_version, json::serialize(ToJson(next)));
   }
   result.m_code = ResultCode::kStoreUnavailable;
   result.m_revision = 0;
@@ -277,7 +293,8 @@
     result.m_code = ResultCode::kNotFound;
     co_return result;
   }
-  co_return co_await Publish({head->m_current.m_revision, std::move(publish_id), std::move(author), *text});
+  PublishRequest request{head->m_current.m_revision, std::move(publish_id), std::move(author), *text};
+  co_return co_await Publish(std::move(request));
 }
 
 void ConfigService::SetWatching(bool watching) {
@@ -295,8 +312,10 @@
       continue;
     }
     if (answer.m_status == StoreStatus::kOk && answer.m_version > m_watched_version) {
-      if (co_await LoadFromStore()) m_watched_version = answer.m_version;
-      else co_await Sleep(kStoreRetry);
+      if (co_await LoadFromStore())
+        m_watched_version = answer.m_version;
+      else
+        co_await Sleep(kStoreRetry);
     }
   }
   m_watch_running = false;
--- a/fescueramp/daemon/config_service.h
+++ b/fescueramp/daemon/config_service.h
@@ -34,7 +34,7 @@
 /// Result of publishing.
 struct PublishResult {
   ResultCode m_code = ResultCode::kOk;
-  std::int64_t m_revision = 0;            ///< Revision published, or the one found on a conflict.
+  std::int64_t m_revision = 0;  ///< Revision published, or the one found on a conflict.
   std::vector<Mistake> m_mistakes;
   std::vector<std::string> m_differences;  ///< What changed since the base revision, on a conflict.
 };
@@ -45,8 +45,8 @@
 /// A node reads just the parts that it does not have, from another node or from the store.
 class ConfigService {
  public:
-  ConfigService(const asio::any_io_executor& executor, const Clock& clock, EventSink& sink, StoreClient& store,
-                LinkPool& links, const std::vector<std::string>& link_keys);
+  ConfigService(const asio::any_io_executor& executor, const Clock& clock, EventSink& sink,
+                StoreClient& store, LinkPool& links, const std::vector<std::string>& link_keys);
 
   /// Reads the current revision from the store or a node and posts it. Returns whether that succeeded.
   asio::awaitable<bool> LoadFromStore();
@@ -69,10 +69,11 @@
  private:
   asio::awaitable<bool> Load(PartSource& source);
   asio::awaitable<std::optional<std::string>> ReadSet(PartSource& source, std::string manifest_hash);
-  asio::awaitable<std::optional<std::string>> ReadChecked(PartSource& source, std::string kind, std::string hash);
+  asio::awaitable<std::optional<std::string>> ReadChecked(PartSource& source, std::string kind,
+                                                          std::string hash);
   asio::awaitable<bool> StoreParts(const std::vector<SetPart>& parts, const std::string& manifest_text);
   asio::awaitable<PublishResult> Conflict(const ConfigHead& head, std::string base_text);
-  asio::awaitable<PublishResult> SwapHead(PublishRequest request, ConfigHead head, std::int64_t version);
+  asio::awaitable<PublishResult> SwapHead(Publication wanted, std::int64_t base_revision);
   asio::awaitable<void> WatchLoop();
   asio::awaitable<void> HostsLoop();
 
@@ -82,7 +83,7 @@
   StoreClient& m_store;
   LinkPool& m_links;
   const std::vector<std::string>& m_link_keys;
-  ConfigHead m_head;                           ///< Of the newest revision read.
+  ConfigHead m_head;  ///< Of the newest revision read.
   std::string m_manifest_text;
   std::map<std::string, std::string> m_parts;  ///< Texts of the newest revision, by hash.
   std::int64_t m_watched_version = 0;
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -10,7 +10,8 @@
 
 constexpr std::size_t kMaxHeldAnswer = 256 * 1024;  ///< Bytes of an answer held until it is whole.
 constexpr auto kConnectTimeout = std::chrono::milliseconds(500);
-constexpr auto kCancelSettle = std::chrono::milliseconds(20);  ///< Time for an endpoint to see a closed connection.
+constexpr auto kCancelSettle =
+    std::chrono::milliseconds(20);  ///< Time for an endpoint to see a closed connection.
 constexpr std::int64_t kServerErrors = 500;
 constexpr std::int64_t kServiceUnavailable = 503;
 
@@ -54,8 +55,10 @@
   }
   m_calls[id] = call;
   call->m_body = std::make_shared<ReplayBody>(m_context.m_executor, std::numeric_limits<std::int64_t>::max());
-  if (call->m_head.m_content_length == 0) call->m_body->SetEmpty();
-  else call->m_body->Start([stream] { return stream->Read(); }, [] {});
+  if (call->m_head.m_content_length == 0)
+    call->m_body->SetEmpty();
+  else
+    call->m_body->Start([stream] { return stream->Read(); }, [] {});
   stream->SetBrokenHandler([sink = m_context.m_sink, id] { sink->Post(DispatchCancelled{id}); });
   m_context.m_sink->Post(DispatchArrived{call->m_request, hops});
   try {
@@ -111,18 +114,22 @@
     SendAnswerHead(*call, call->m_answer);
     co_await call->m_stream->Write(std::move(call->m_answer_body));
   }
-  if (call->m_answer_whole) call->m_stream->Finish();
-  else call->m_stream->Reset();
+  if (call->m_answer_whole)
+    call->m_stream->Finish();
+  else
+    call->m_stream->Reset();
 }
 
 asio::awaitable<AttemptResult> DispatchHandler::RunAttempt(std::shared_ptr<Call> call, StartAttempt effect) {
-  AttemptResult result{effect.m_request_id, effect.m_attempt, AttemptOutcome::kAnswered, 0, {}, true, false, false};
+  AttemptResult result{
+      effect.m_request_id, effect.m_attempt, AttemptOutcome::kAnswered, 0, {}, true, false, false};
   if (m_context.m_record_decisions) {
     call->m_record = json::serialize(ToJson(effect.m_record));
     m_context.m_journal->Add(effect.m_record);
   }
   if (effect.m_attempt == 1) {
-    m_context.m_metrics->AddQueueWait(effect.m_record.m_class_name, effect.m_record.m_decided - effect.m_record.m_arrival);
+    m_context.m_metrics->AddQueueWait(effect.m_record.m_class_name,
+                                      effect.m_record.m_decided - effect.m_record.m_arrival);
   }
   call->m_answer_body.clear();
   const auto port = static_cast<std::uint16_t>(effect.m_port);
@@ -148,11 +155,16 @@
   result.m_latency = m_context.m_clock->Now() - started;
   if (failed) {
     result.m_status = 0;
-    if (call->m_cancelled) result.m_outcome = AttemptOutcome::kCancelled;
-    else if (!sent) result.m_outcome = AttemptOutcome::kConnectFailed;
-    else if (timed_out && call->m_connection->m_reused) result.m_outcome = AttemptOutcome::kSilent;
-    else if (timed_out) result.m_outcome = AttemptOutcome::kTimedOut;
-    else result.m_outcome = AttemptOutcome::kBroken;
+    if (call->m_cancelled)
+      result.m_outcome = AttemptOutcome::kCancelled;
+    else if (!sent)
+      result.m_outcome = AttemptOutcome::kConnectFailed;
+    else if (timed_out && call->m_connection->m_reused)
+      result.m_outcome = AttemptOutcome::kSilent;
+    else if (timed_out)
+      result.m_outcome = AttemptOutcome::kTimedOut;
+    else
+      result.m_outcome = AttemptOutcome::kBroken;
   }
   if (result.m_outcome == AttemptOutcome::kSilent || result.m_outcome == AttemptOutcome::kBroken) {
     m_context.m_endpoints->Drop(effect.m_address, port);
@@ -167,7 +179,8 @@
 
 std::chrono::milliseconds DispatchHandler::TimeLeft(const StartAttempt& effect) const {
   const Duration left = effect.m_deadline - m_context.m_clock->Now();
-  const Duration wait = std::max<Duration>(std::min(left, effect.m_progress_timeout), std::chrono::milliseconds(1));
+  const Duration wait =
+      std::max<Duration>(std::min(left, effect.m_progress_timeout), std::chrono::milliseconds(1));
   return std::chrono::duration_cast<std::chrono::milliseconds>(wait);
 }
 
@@ -180,7 +193,8 @@
 asio::awaitable<void> DispatchHandler::SendRequest(std::shared_ptr<Call> call, const StartAttempt& effect) {
   HttpConnection& connection = call->m_connection->m_connection;
   RequestHead head = call->m_head;
-  const auto deadline = std::chrono::duration_cast<std::chrono::milliseconds>(effect.m_deadline - m_context.m_clock->Now());
+  const auto deadline =
+      std::chrono::duration_cast<std::chrono::milliseconds>(effect.m_deadline - m_context.m_clock->Now());
   head.m_headers.push_back({"Fescue-Request-Id", call->m_request.m_request_id});
   head.m_headers.push_back({"Fescue-Attempt", std::to_string(effect.m_attempt)});
   head.m_headers.push_back({"Fescue-Deadline-Ms", std::to_string(deadline.count())});
@@ -201,9 +215,12 @@
   AnswerHead head = co_await connection.ReadHead(TimeLeft(effect));
   result.m_status = head.m_status;
   result.m_draining = !FindHeader(head.m_headers, "endpoint-draining").empty();
-  const bool shed = head.m_status == kServiceUnavailable && !FindHeader(head.m_headers, "endpoint-shed").empty();
-  if (shed) result.m_outcome = AttemptOutcome::kShed;
-  else if (head.m_status >= kServerErrors) result.m_outcome = AttemptOutcome::kServerError;
+  const bool shed =
+      head.m_status == kServiceUnavailable && !FindHeader(head.m_headers, "endpoint-shed").empty();
+  if (shed)
+    result.m_outcome = AttemptOutcome::kShed;
+  else if (head.m_status >= kServerErrors)
+    result.m_outcome = AttemptOutcome::kServerError;
   call->m_answer = std::move(head);
   call->m_answer_whole = false;
   std::string body;
@@ -242,10 +259,13 @@
 asio::awaitable<bool> DispatchHandler::Relay(std::shared_ptr<Call> call, RelayRequest effect) {
   std::shared_ptr<LinkStream> to;
   try {
-    const auto link = co_await m_context.m_links->Get(effect.m_address, static_cast<std::uint16_t>(effect.m_port));
+    const auto link =
+        co_await m_context.m_links->Get(effect.m_address, static_cast<std::uint16_t>(effect.m_port));
     const HeaderField dispatch = wire::JsonField(wire::kDispatchField, call->m_request);
     to = link->Open(wire::kDispatchPath,
-                    {dispatch, wire::JsonField(wire::kHeadField, call->m_head), {wire::kHopsField, "1"},
+                    {dispatch,
+                     wire::JsonField(wire::kHeadField, call->m_head),
+                     {wire::kHopsField, "1"},
                      {wire::kAuthField, wire::AuthCode(m_context.m_link_keys->front(), dispatch.m_value)}},
                     true);
   } catch (const LinkError&) {
@@ -268,8 +288,10 @@
   } catch (const std::exception&) {
     whole = false;
   }
-  if (whole) call->m_stream->Finish();
-  else call->m_stream->Reset();
+  if (whole)
+    call->m_stream->Finish();
+  else
+    call->m_stream->Reset();
   m_context.m_sink->Post(DispatchCancelled{effect.m_request_id});
   co_return true;
 }
--- a/fescueramp/daemon/dispatch_handler.h
+++ b/fescueramp/daemon/dispatch_handler.h
@@ -63,7 +63,7 @@
     Signal m_commanded;
     std::shared_ptr<EndpointConnection> m_connection;  ///< Of the running attempt.
     bool m_cancelled = false;
-    AnswerHead m_answer;      ///< Of the last attempt.
+    AnswerHead m_answer;  ///< Of the last attempt.
     std::string m_answer_body;
     bool m_answer_started = false;
     bool m_answer_whole = false;
@@ -74,9 +74,11 @@
   void Enqueue(const std::string& request_id, const T& effect);
   asio::awaitable<void> Serve(std::shared_ptr<Call> call);
   asio::awaitable<AttemptResult> RunAttempt(std::shared_ptr<Call> call, StartAttempt effect);
-  asio::awaitable<void> Exchange(std::shared_ptr<Call> call, const StartAttempt& effect, AttemptResult& result);
+  asio::awaitable<void> Exchange(std::shared_ptr<Call> call, const StartAttempt& effect,
+                                 AttemptResult& result);
   asio::awaitable<void> SendRequest(std::shared_ptr<Call> call, const StartAttempt& effect);
-  asio::awaitable<void> ReadAnswer(std::shared_ptr<Call> call, const StartAttempt& effect, AttemptResult& result);
+  asio::awaitable<void> ReadAnswer(std::shared_ptr<Call> call, const StartAttempt& effect,
+                                   AttemptResult& result);
   std::chrono::milliseconds TimeLeft(const StartAttempt& effect) const;
   asio::awaitable<void> Deliver(std::shared_ptr<Call> call);
   void SendAnswerHead(Call& call, AnswerHead head);
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -11,8 +11,9 @@
 namespace fescueramp {
 namespace {
 
-constexpr std::size_t kMaxHeldAnswer = 256 * 1024;                  ///< Bytes of an answer held until it is whole.
-constexpr Duration kDeadlineGrace = std::chrono::milliseconds(500);  ///< Time for the dispatcher's own last answer.
+constexpr std::size_t kMaxHeldAnswer = 256 * 1024;  ///< Bytes of an answer held until it is whole.
+constexpr Duration kDeadlineGrace =
+    std::chrono::milliseconds(500);  ///< Time for the dispatcher's own last answer.
 
 RequestHead CleanHead(const RequestHead& head) {
   RequestHead clean{head.m_method, head.m_target, {}, head.m_content_length};
@@ -81,7 +82,8 @@
     m_context.m_sink->Post(ForwardEnded{call->m_id, {}, ForwardOutcome::kCallerLeft, false});
     exchange->Abort();
   }
-  m_context.m_metrics->AddLatency(call->m_class_name, call->m_group, m_context.m_clock->Now() - call->m_received);
+  m_context.m_metrics->AddLatency(call->m_class_name, call->m_group,
+                                  m_context.m_clock->Now() - call->m_received);
   m_calls.erase(call->m_id);
 }
 
@@ -119,11 +121,14 @@
     if (!call->m_body) StartBody(call, forward.m_max_body_bytes);
     const ForwardOutcome outcome = co_await Forward(call, forward);
     const bool too_long = call->m_body->TooLong();
-    const bool over = outcome == ForwardOutcome::kAnswered || outcome == ForwardOutcome::kCallerLeft || too_long;
+    const bool over =
+        outcome == ForwardOutcome::kAnswered || outcome == ForwardOutcome::kCallerLeft || too_long;
     const ForwardOutcome told = too_long ? ForwardOutcome::kCallerLeft : outcome;
     m_context.m_sink->Post(ForwardEnded{call->m_id, forward.m_node, told, call->m_body->Replayable()});
-    if (too_long) co_await SendResult(call, ResultCode::kBodyTooLarge, 0, 0, {});
-    else if (outcome == ForwardOutcome::kCallerLeft) call->m_exchange->Abort();
+    if (too_long)
+      co_await SendResult(call, ResultCode::kBodyTooLarge, 0, 0, {});
+    else if (outcome == ForwardOutcome::kCallerLeft)
+      call->m_exchange->Abort();
     if (over) co_return;
   }
 }
@@ -138,7 +143,8 @@
     }
     stream->Finish();
   } catch (const std::exception&) {
-    // Either the stream is gone, which its reader sees, or the body is: then the dispatcher must not wait for it.
+    // Either the stream is gone, which its reader sees, or the body is: then the dispatcher must not wait for
+    // it.
     const bool body_failed = call->m_body->Failed() || call->m_body->TooLong();
     if (body_failed) call->m_caller_left = !call->m_body->TooLong();
     if (body_failed) stream->Reset();
@@ -164,12 +170,15 @@
   if (call->m_caller_left) co_return ForwardOutcome::kCallerLeft;
   std::shared_ptr<LinkStream> stream;
   try {
-    const auto link = co_await m_context.m_links->Get(effect.m_address, static_cast<std::uint16_t>(effect.m_port));
+    const auto link =
+        co_await m_context.m_links->Get(effect.m_address, static_cast<std::uint16_t>(effect.m_port));
     const HeaderField dispatch = wire::JsonField(wire::kDispatchField, effect.m_request);
     const std::string auth = wire::AuthCode(m_context.m_link_keys->front(), dispatch.m_value);
     stream = link->Open(wire::kDispatchPath,
-                        {dispatch, wire::JsonField(wire::kHeadField, CleanHead(call->m_exchange->Head())),
-                         {wire::kHopsField, "0"}, {wire::kAuthField, auth}},
+                        {dispatch,
+                         wire::JsonField(wire::kHeadField, CleanHead(call->m_exchange->Head())),
+                         {wire::kHopsField, "0"},
+                         {wire::kAuthField, auth}},
                         true);
   } catch (const LinkError&) {
     co_return ForwardOutcome::kConnectFailed;
@@ -199,7 +208,8 @@
 }
 
 asio::awaitable<ForwardOutcome> EntryHandler::RelayAnswer(std::shared_ptr<Call> call,
-                                                          std::shared_ptr<LinkStream> stream, bool* answer_started) {
+                                                          std::shared_ptr<LinkStream> stream,
+                                                          bool* answer_started) {
   co_await stream->WaitHeaders();
   AnswerHead head;
   try {
--- a/fescueramp/daemon/entry_handler.h
+++ b/fescueramp/daemon/entry_handler.h
@@ -72,7 +72,8 @@
   asio::awaitable<ForwardOutcome> RelayAnswer(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream,
                                               bool* answer_started);
   static asio::awaitable<void> SendBody(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream);
-  static asio::awaitable<void> Watch(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream, Duration left);
+  static asio::awaitable<void> Watch(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream,
+                                     Duration left);
   asio::awaitable<void> SendResult(std::shared_ptr<Call> call, ResultCode code, std::int64_t retry_after_ms,
                                    std::int64_t recorded_status, std::vector<HeaderField> headers);
   std::vector<HeaderField> AnswerHeaders(const Call& call, const AnswerHead& head);
--- a/fescueramp/daemon/node_metrics.cc
+++ b/fescueramp/daemon/node_metrics.cc
@@ -20,19 +20,21 @@
 }  // namespace
 
 NodeMetrics::NodeMetrics()
-    : m_answers(Build(prometheus::BuildCounter(), "fescueramp_answers_total", "Answers to callers, by result.",
-                      m_registry)),
+    : m_answers(Build(prometheus::BuildCounter(), "fescueramp_answers_total",
+                      "Answers to callers, by result.", m_registry)),
       m_latency(Build(prometheus::BuildHistogram(), "fescueramp_latency_seconds",
-                      "From a request's header to the end of its answer, by class and caller group.", m_registry)),
+                      "From a request's header to the end of its answer, by class and caller group.",
+                      m_registry)),
       m_queue_wait(Build(prometheus::BuildHistogram(), "fescueramp_queue_wait_seconds",
                          "From arrival at the dispatcher to the first attempt, by class.", m_registry)),
-      m_attempts(Build(prometheus::BuildCounter(), "fescueramp_attempts_total", "Attempts on endpoints, by outcome.",
-                       m_registry)),
+      m_attempts(Build(prometheus::BuildCounter(), "fescueramp_attempts_total",
+                       "Attempts on endpoints, by outcome.", m_registry)),
       m_health(Build(prometheus::BuildCounter(), "fescueramp_health_changes_total",
                      "Changes of endpoint health, by service and new state.", m_registry)),
       m_members(Build(prometheus::BuildCounter(), "fescueramp_member_changes_total",
                       "Changes of members, by new state.", m_registry)),
-      m_gauges(Build(prometheus::BuildGauge(), "fescueramp_node", "Values of this node, by name.", m_registry)) {}
+      m_gauges(
+          Build(prometheus::BuildGauge(), "fescueramp_node", "Values of this node, by name.", m_registry)) {}
 
 const std::string& NodeMetrics::Bounded(std::set<std::string>& known, const std::string& name) {
   if (known.contains(name) || known.size() < kMaxLabelValues) return *known.insert(name).first;
@@ -51,7 +53,9 @@
   m_queue_wait.Add({{"class", Bounded(m_classes, class_name)}}, kLatencyBuckets).Observe(ToSeconds(wait));
 }
 
-void NodeMetrics::AddAttempt(const std::string& outcome) { m_attempts.Add({{"outcome", outcome}}).Increment(); }
+void NodeMetrics::AddAttempt(const std::string& outcome) {
+  m_attempts.Add({{"outcome", outcome}}).Increment();
+}
 
 void NodeMetrics::AddHealthChange(const std::string& service, const std::string& state) {
   m_health.Add({{"service", Bounded(m_services, service)}, {"state", state}}).Increment();
@@ -61,7 +65,9 @@
 
 void NodeMetrics::SetRevision(std::int64_t revision) { SetGauge("revision", static_cast<double>(revision)); }
 
-void NodeMetrics::SetGauge(const std::string& name, double value) { m_gauges.Add({{"name", name}}).Set(value); }
+void NodeMetrics::SetGauge(const std::string& name, double value) {
+  m_gauges.Add({{"name", name}}).Set(value);
+}
 
 std::string NodeMetrics::Text() const { return prometheus::TextSerializer().Serialize(m_registry.Collect()); }
 
--- a/fescueramp/daemon/settings.cc
+++ b/fescueramp/daemon/settings.cc
@@ -63,11 +63,14 @@
 }
 
 void CheckSettings(const Settings& settings, std::vector<Mistake>& mistakes) {
-  const auto bad_char = [](char c) { return !std::isalnum(static_cast<unsigned char>(c)) && c != '-' && c != '_'; };
+  const auto bad_char = [](char c) {
+    return !std::isalnum(static_cast<unsigned char>(c)) && c != '-' && c != '_';
+  };
   if (settings.m_node.empty() || std::any_of(settings.m_node.begin(), settings.m_node.end(), bad_char)) {
     mistakes.push_back({"settings", "node", "missing or with other characters", "letters, digits, - and _"});
   }
-  if (settings.m_zone.empty()) mistakes.push_back({"settings", "zone", "missing", "name of an availability zone"});
+  if (settings.m_zone.empty())
+    mistakes.push_back({"settings", "zone", "missing", "name of an availability zone"});
   boost::system::error_code ec;
   boost::asio::ip::make_address(settings.m_address, ec);
   if (ec) mistakes.push_back({"settings", "address", "not an IP number", "an IPv4 or IPv6 number"});
@@ -115,7 +118,8 @@
 NodeSettings ToNodeSettings(const Settings& settings, Instant now) {
   NodeSettings node;
   // A node that restarts has a higher incarnation than before, so what was believed of it is replaced.
-  const auto incarnation = std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
+  const auto incarnation =
+      std::chrono::duration_cast<std::chrono::milliseconds>(now.time_since_epoch()).count();
   const auto advertised = [](std::int64_t port, std::int64_t own) { return port > 0 ? port : own; };
   node.m_self = {settings.m_node,
                  MemberState::kAlive,
@@ -129,7 +133,8 @@
   node.m_policy = settings.m_policy;
   node.m_claim_groups = settings.m_claim_groups;
   node.m_claim_window_s = settings.m_claim_window_s;
-  node.m_random_seed = static_cast<std::int64_t>(Hash64(settings.m_node, static_cast<std::uint64_t>(incarnation)) >> 33);
+  node.m_random_seed =
+      static_cast<std::int64_t>(Hash64(settings.m_node, static_cast<std::uint64_t>(incarnation)) >> 33);
   return node;
 }
 
--- a/fescueramp/daemon/settings.h
+++ b/fescueramp/daemon/settings.h
@@ -28,19 +28,19 @@
 
 /// Settings of one daemon.
 struct Settings {
-  std::string m_node;                     ///< Name, unique in the fleet.
-  std::string m_region = "default";       ///< Region of the host.
-  std::string m_zone;                     ///< Availability zone of the host.
-  std::string m_address = "127.0.0.1";    ///< IP number that the others reach this host at.
-  std::int64_t m_caller_port = 0;         ///< TCP port for callers.
-  std::int64_t m_link_port = 0;           ///< TCP port for other nodes.
-  std::int64_t m_gossip_port = 0;         ///< UDP port for other nodes.
-  std::int64_t m_admin_port = 0;          ///< TCP port for operators, the balancer and metrics.
+  std::string m_node;                         ///< Name, unique in the fleet.
+  std::string m_region = "default";           ///< Region of the host.
+  std::string m_zone;                         ///< Availability zone of the host.
+  std::string m_address = "127.0.0.1";        ///< IP number that the others reach this host at.
+  std::int64_t m_caller_port = 0;             ///< TCP port for callers.
+  std::int64_t m_link_port = 0;               ///< TCP port for other nodes.
+  std::int64_t m_gossip_port = 0;             ///< UDP port for other nodes.
+  std::int64_t m_admin_port = 0;              ///< TCP port for operators, the balancer and metrics.
   std::int64_t m_advertised_link_port = 0;    ///< Link port that others use; 0 for the same.
   std::int64_t m_advertised_gossip_port = 0;  ///< Gossip port that others use; 0 for the same.
   PlatformSettings m_platform;
-  std::vector<SeedAddress> m_seeds;       ///< Gossip addresses of some other nodes.
-  std::vector<std::string> m_link_keys;   ///< Keys between nodes; the first signs, all are accepted.
+  std::vector<SeedAddress> m_seeds;         ///< Gossip addresses of some other nodes.
+  std::vector<std::string> m_link_keys;     ///< Keys between nodes; the first signs, all are accepted.
   std::vector<std::string> m_receipt_keys;  ///< Keys of receipts; the first signs, all are accepted.
   std::vector<OperatorToken> m_operators;
   PolicyKind m_policy = PolicyKind::kFair;
@@ -51,9 +51,10 @@
   std::string m_trace_file;               ///< File for the event trace; empty for none.
 };
 BOOST_DESCRIBE_STRUCT(Settings, (),
-                      (m_node, m_region, m_zone, m_address, m_caller_port, m_link_port, m_gossip_port, m_admin_port,
-                       m_advertised_link_port, m_advertised_gossip_port, m_platform, m_seeds, m_link_keys, m_receipt_keys, m_operators, m_policy, m_claim_groups,
-                       m_claim_window_s, m_journal_records, m_shutdown_grace_s, m_trace_file))
+                      (m_node, m_region, m_zone, m_address, m_caller_port, m_link_port, m_gossip_port,
+                       m_admin_port, m_advertised_link_port, m_advertised_gossip_port, m_platform, m_seeds,
+                       m_link_keys, m_receipt_keys, m_operators, m_policy, m_claim_groups, m_claim_window_s,
+                       m_journal_records, m_shutdown_grace_s, m_trace_file))
 
 /// Reads settings from JSON with comments. Mistakes are appended to `mistakes`, all at once.
 Settings ParseSettings(std::string_view text, std::vector<Mistake>& mistakes);
--- a/fescueramp/daemon/shell.cc
+++ b/fescueramp/daemon/shell.cc
@@ -48,32 +48,36 @@
     m_trace_file.open(m_settings.m_trace_file, std::ios::trunc);
     m_trace.emplace(m_trace_file, m_node_settings);
   }
-  m_entry = std::make_unique<EntryHandler>(EntryHandler::Context{executor, &m_clock, this, &m_links, &m_metrics,
-                                                                 &m_journal, m_settings.m_node,
-                                                                 &m_settings.m_link_keys, &m_settings.m_receipt_keys});
-  m_dispatch = std::make_unique<DispatchHandler>(DispatchHandler::Context{
-      executor, &m_clock, this, &m_links, &m_endpoints, &m_metrics, &m_journal, &m_settings.m_link_keys,
-      m_settings.m_journal_records > 0});
-  m_config = std::make_unique<ConfigService>(executor, m_clock, *this, m_store, m_links, m_settings.m_link_keys);
+  m_entry = std::make_unique<EntryHandler>(
+      EntryHandler::Context{executor, &m_clock, this, &m_links, &m_metrics, &m_journal, m_settings.m_node,
+                            &m_settings.m_link_keys, &m_settings.m_receipt_keys});
+  m_dispatch = std::make_unique<DispatchHandler>(
+      DispatchHandler::Context{executor, &m_clock, this, &m_links, &m_endpoints, &m_metrics, &m_journal,
+                               &m_settings.m_link_keys, m_settings.m_journal_records > 0});
+  m_config =
+      std::make_unique<ConfigService>(executor, m_clock, *this, m_store, m_links, m_settings.m_link_keys);
   m_gossip = std::make_unique<GossipSocket>(
       executor, m_settings.m_address, Port(m_settings.m_gossip_port), m_settings.m_link_keys,
       [this](const std::string& address, std::int64_t port, GossipMessage message) {
         Post(GossipReceived{address, port, std::move(message)});
       });
-  m_admin = std::make_unique<AdminApi>(AdminApi::Context{&m_settings, &m_clock, &m_reducer, m_config.get(), &m_links,
-                                                         &m_store, &m_journal, &m_metrics,
+  m_admin = std::make_unique<AdminApi>(AdminApi::Context{&m_settings, &m_clock, &m_reducer, m_config.get(),
+                                                         &m_links, &m_store, &m_journal, &m_metrics,
                                                          [this] { UpdateGauges(); }});
   HttpServerSettings caller;
   caller.m_address = m_settings.m_address;
   caller.m_port = Port(m_settings.m_caller_port);
   caller.m_malformed_body = MalformedBody;
   m_caller_server = std::make_unique<HttpServer>(
-      executor, caller, [this](std::shared_ptr<HttpExchange> exchange) { return m_entry->Handle(std::move(exchange)); });
+      executor, caller,
+      [this](std::shared_ptr<HttpExchange> exchange) { return m_entry->Handle(std::move(exchange)); });
   HttpServerSettings admin = caller;
   admin.m_port = Port(m_settings.m_admin_port);
   m_admin_server = std::make_unique<HttpServer>(
-      executor, admin, [this](std::shared_ptr<HttpExchange> exchange) { return m_admin->Handle(std::move(exchange)); });
-  const tcp::endpoint link_endpoint(asio::ip::make_address(m_settings.m_address), Port(m_settings.m_link_port));
+      executor, admin,
+      [this](std::shared_ptr<HttpExchange> exchange) { return m_admin->Handle(std::move(exchange)); });
+  const tcp::endpoint link_endpoint(asio::ip::make_address(m_settings.m_address),
+                                    Port(m_settings.m_link_port));
   m_link_acceptor.open(link_endpoint.protocol());
   m_link_acceptor.set_option(asio::socket_base::reuse_address(true));
   m_link_acceptor.bind(link_endpoint);
@@ -130,9 +134,10 @@
       co_await Sleep(kTickPeriod);
       continue;
     }
-    const auto link = std::make_shared<Link>(std::move(socket), true, [this](std::shared_ptr<LinkStream> stream) {
-      asio::co_spawn(m_io, ServeStream(std::move(stream)), asio::detached);
-    });
+    const auto link =
+        std::make_shared<Link>(std::move(socket), true, [this](std::shared_ptr<LinkStream> stream) {
+          asio::co_spawn(m_io, ServeStream(std::move(stream)), asio::detached);
+        });
     link->Start();
   }
 }
@@ -153,8 +158,10 @@
     co_return;
   }
   std::optional<std::string> text;
-  if (path.starts_with(wire::kConfigPath)) text = m_config->Serve(path.substr(std::string(wire::kConfigPath).size()));
-  if (path.starts_with(wire::kQueryPath)) text = m_admin->AnswerQuery(path.substr(std::string(wire::kQueryPath).size()));
+  if (path.starts_with(wire::kConfigPath))
+    text = m_config->Serve(path.substr(std::string(wire::kConfigPath).size()));
+  if (path.starts_with(wire::kQueryPath))
+    text = m_admin->AnswerQuery(path.substr(std::string(wire::kQueryPath).size()));
   try {
     stream->SendHeaders({{":status", text ? "200" : "404"}});
     if (text) co_await stream->Write(std::move(*text));
@@ -167,9 +174,9 @@
 void Shell::RunEffect(const ReportHealth& effect) {
   const HealthChange& change = effect.m_change;
   m_metrics.AddHealthChange(effect.m_service, std::string(EnumName(change.m_state)));
-  LOG(INFO) << "endpoint " << change.m_endpoint << " of " << effect.m_service << " is " << EnumName(change.m_state)
-            << ": " << change.m_reason << " (evidence: errors " << change.m_error_evidence << ", latency "
-            << change.m_latency_evidence << ")";
+  LOG(INFO) << "endpoint " << change.m_endpoint << " of " << effect.m_service << " is "
+            << EnumName(change.m_state) << ": " << change.m_reason << " (evidence: errors "
+            << change.m_error_evidence << ", latency " << change.m_latency_evidence << ")";
 }
 
 void Shell::RunEffect(const SendGossip& effect) {
@@ -178,13 +185,14 @@
 
 void Shell::RunEffect(const ReportMember& effect) {
   m_metrics.AddMemberChange(std::string(EnumName(effect.m_member.m_state)));
-  LOG(INFO) << "member " << effect.m_member.m_node << " is " << EnumName(effect.m_member.m_state) << ", incarnation "
-            << effect.m_member.m_incarnation;
+  LOG(INFO) << "member " << effect.m_member.m_node << " is " << EnumName(effect.m_member.m_state)
+            << ", incarnation " << effect.m_member.m_incarnation;
 }
 
 void Shell::RunEffect(const StoreGet& effect) {
   asio::co_spawn(
-      m_io, [](Shell* self, StoreGet request) -> asio::awaitable<void> {
+      m_io,
+      [](Shell* self, StoreGet request) -> asio::awaitable<void> {
         self->Post(co_await self->m_store.Get(std::move(request)));
       }(this, effect),
       asio::detached);
@@ -192,7 +200,8 @@
 
 void Shell::RunEffect(const StorePut& effect) {
   asio::co_spawn(
-      m_io, [](Shell* self, StorePut request) -> asio::awaitable<void> {
+      m_io,
+      [](Shell* self, StorePut request) -> asio::awaitable<void> {
         self->Post(co_await self->m_store.Put(std::move(request)));
       }(this, effect),
       asio::detached);
@@ -200,7 +209,8 @@
 
 void Shell::RunEffect(const StoreDelete& effect) {
   asio::co_spawn(
-      m_io, [](Shell* self, StoreDelete request) -> asio::awaitable<void> {
+      m_io,
+      [](Shell* self, StoreDelete request) -> asio::awaitable<void> {
         self->Post(co_await self->m_store.Delete(std::move(request)));
       }(this, effect),
       asio::detached);
@@ -208,7 +218,8 @@
 
 void Shell::RunEffect(const FetchConfiguration& effect) {
   asio::co_spawn(
-      m_io, [](Shell* self, FetchConfiguration fetch) -> asio::awaitable<void> {
+      m_io,
+      [](Shell* self, FetchConfiguration fetch) -> asio::awaitable<void> {
         co_await self->m_config->LoadFromNode(fetch.m_address, fetch.m_port);
       }(this, effect),
       asio::detached);
@@ -256,8 +267,10 @@
 void Shell::HandleSignals() {
   m_signals.async_wait([this](const boost::system::error_code& ec, int number) {
     if (ec) return;
-    if (number == SIGHUP) ReloadKeys();
-    else Shutdown();
+    if (number == SIGHUP)
+      ReloadKeys();
+    else
+      Shutdown();
     HandleSignals();
   });
 }
--- a/fescueramp/daemon/wire.h
+++ b/fescueramp/daemon/wire.h
@@ -17,8 +17,8 @@
 inline constexpr const char* kDispatchField = "fescue-dispatch";  ///< DispatchRequest as JSON.
 inline constexpr const char* kHeadField = "fescue-head";          ///< RequestHead as JSON.
 inline constexpr const char* kHopsField = "fescue-hops";
-inline constexpr const char* kAuthField = "fescue-auth";          ///< Code made with the link key.
-inline constexpr const char* kAnswerField = "fescue-answer";      ///< AnswerHead as JSON.
+inline constexpr const char* kAuthField = "fescue-auth";      ///< Code made with the link key.
+inline constexpr const char* kAnswerField = "fescue-answer";  ///< AnswerHead as JSON.
 
 /// Code that shows that the sender knows a link key.
 inline std::string AuthCode(const std::string& key, std::string_view subject) {
@@ -27,8 +27,9 @@
 
 /// Whether the code was made with one of the keys.
 inline bool CheckAuth(const std::vector<std::string>& keys, std::string_view code, std::string_view subject) {
-  return std::any_of(keys.begin(), keys.end(),
-                     [&](const std::string& key) { return EqualInConstantTime(code, AuthCode(key, subject)); });
+  return std::any_of(keys.begin(), keys.end(), [&](const std::string& key) {
+    return EqualInConstantTime(code, AuthCode(key, subject));
+  });
 }
 
 /// JSON of a struct in a header field.
--- a/fescueramp/dispatch/baseline_dispatcher.cc
+++ b/fescueramp/dispatch/baseline_dispatcher.cc
@@ -59,8 +59,8 @@
   record.m_endpoint = pending.m_endpoint;
   const Duration left = pending.m_request.m_deadline - now;
   out.emplace_back(StartAttempt{pending.m_request.m_request_id, pending.m_attempts, pending.m_endpoint,
-                                state.m_endpoint.m_address, state.m_endpoint.m_port, pool.m_max_connections, left,
-                                pending.m_request.m_deadline, false, std::move(record)});
+                                state.m_endpoint.m_address, state.m_endpoint.m_port, pool.m_max_connections,
+                                left, pending.m_request.m_deadline, false, std::move(record)});
 }
 
 void BaselineDispatcher::Cancel(const std::string& request_id, Instant, DispatchEffects& out) {
@@ -81,7 +81,8 @@
     state.m_errors_in_row = 0;
     state.m_ejected_until = now + kEjection;
     ++state.m_ejections;
-    out.emplace_back(ReportHealth{m_service, {pending.m_endpoint, HealthState::kEjected, "five errors in a row", 0, 0}});
+    out.emplace_back(
+        ReportHealth{m_service, {pending.m_endpoint, HealthState::kEjected, "five errors in a row", 0, 0}});
   }
   const bool give_up = result.m_outcome == AttemptOutcome::kCancelled || result.m_answer_started ||
                        !result.m_body_replayable || pending.m_attempts >= kMaxAttempts;
@@ -98,7 +99,8 @@
 
 void BaselineDispatcher::Tick(Instant, DispatchEffects&) {}
 
-void BaselineDispatcher::SetLeaving(const std::string& endpoint, bool leaving, Instant now, DispatchEffects&) {
+void BaselineDispatcher::SetLeaving(const std::string& endpoint, bool leaving, Instant now,
+                                    DispatchEffects&) {
   if (leaving) m_endpoints[endpoint].m_ejected_until = now + kEjection;
 }
 
--- a/fescueramp/dispatch/class_share.cc
+++ b/fescueramp/dispatch/class_share.cc
@@ -6,9 +6,9 @@
 namespace fescueramp {
 namespace {
 
-constexpr double kMargin = 2.6;          ///< Standard deviations of the offered load kept free.
-constexpr double kMuchLonger = 4;        ///< Ratio of service times from which slots are reserved.
-constexpr double kIdleRate = 0.2;        ///< Requests a second below which nothing is reserved.
+constexpr double kMargin = 2.6;    ///< Standard deviations of the offered load kept free.
+constexpr double kMuchLonger = 4;  ///< Ratio of service times from which slots are reserved.
+constexpr double kIdleRate = 0.2;  ///< Requests a second below which nothing is reserved.
 
 }  // namespace
 
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -44,16 +44,17 @@
   DecisionRecord m_record;
 };
 BOOST_DESCRIBE_STRUCT(StartAttempt, (),
-                      (m_request_id, m_attempt, m_endpoint, m_address, m_port, m_max_connections, m_progress_timeout,
-                       m_deadline, m_fresh_connection, m_record))
+                      (m_request_id, m_attempt, m_endpoint, m_address, m_port, m_max_connections,
+                       m_progress_timeout, m_deadline, m_fresh_connection, m_record))
 
 /// Ends a request at its dispatcher without a further attempt.
 struct FinishRequest {
   static constexpr const char* kType = "finish_request";
   std::string m_request_id;
-  std::int64_t m_code = 0;          ///< Number of a ResultCode.
+  std::int64_t m_code = 0;  ///< Number of a ResultCode.
   std::int64_t m_retry_after_ms = 0;
-  std::int64_t m_recorded_status = 0;  ///< HTTP status that earlier work with the key ended with; 0 if not known.
+  std::int64_t m_recorded_status =
+      0;  ///< HTTP status that earlier work with the key ended with; 0 if not known.
   DecisionRecord m_record;
 };
 BOOST_DESCRIBE_STRUCT(FinishRequest, (),
@@ -88,14 +89,14 @@
   std::string m_request_id;
   std::int64_t m_attempt = 0;
   AttemptOutcome m_outcome = AttemptOutcome::kAnswered;
-  std::int64_t m_status = 0;        ///< HTTP status of the answer; 0 when there is none.
-  Duration m_latency{};             ///< From the send to the end of the answer.
-  bool m_body_replayable = true;    ///< Whether the request body can be sent again.
-  bool m_answer_started = false;    ///< Whether part of the answer has gone to the caller.
-  bool m_draining = false;          ///< Whether the endpoint said that it is leaving.
+  std::int64_t m_status = 0;      ///< HTTP status of the answer; 0 when there is none.
+  Duration m_latency{};           ///< From the send to the end of the answer.
+  bool m_body_replayable = true;  ///< Whether the request body can be sent again.
+  bool m_answer_started = false;  ///< Whether part of the answer has gone to the caller.
+  bool m_draining = false;        ///< Whether the endpoint said that it is leaving.
 };
 BOOST_DESCRIBE_STRUCT(AttemptResult, (),
-                      (m_request_id, m_attempt, m_outcome, m_status, m_latency, m_body_replayable, m_answer_started,
-                       m_draining))
+                      (m_request_id, m_attempt, m_outcome, m_status, m_latency, m_body_replayable,
+                       m_answer_started, m_draining))
 
 }  // namespace fescueramp
--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -41,8 +41,8 @@
   std::string m_reason;
 };
 BOOST_DESCRIBE_STRUCT(EndpointStatus, (),
-                      (m_endpoint, m_state, m_in_service, m_busy, m_usable_slots, m_error_rate, m_error_evidence,
-                       m_latency_evidence, m_ejections, m_reason))
+                      (m_endpoint, m_state, m_in_service, m_busy, m_usable_slots, m_error_rate,
+                       m_error_evidence, m_latency_evidence, m_ejections, m_reason))
 
 /// Queues the requests of one service and chooses when and where each runs.
 /// Deterministic: the same calls give the same effects.
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -27,7 +27,8 @@
     state.m_total = pool.m_slots;
   }
   // Endpoints that left the pool stay known until their last request ends.
-  std::erase_if(m_slots, [&](const auto& item) { return !slots.contains(item.first) && item.second.m_busy == 0; });
+  std::erase_if(m_slots,
+                [&](const auto& item) { return !slots.contains(item.first) && item.second.m_busy == 0; });
   Refresh(now);
 }
 
@@ -61,7 +62,8 @@
   if (!need.m_repeatable && m_health.State(state.m_name) == HealthState::kCanary) return false;
   const auto held = state.m_busy_by_class.find(need.m_class_name);
   if (held == state.m_busy_by_class.end()) return true;
-  const auto cap = static_cast<std::int64_t>(std::floor(need.m_max_share * static_cast<double>(state.m_total) + 1e-9));
+  const auto cap =
+      static_cast<std::int64_t>(std::floor(need.m_max_share * static_cast<double>(state.m_total) + 1e-9));
   return held->second < std::max<std::int64_t>(1, cap);
 }
 
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -24,9 +24,9 @@
     std::int64_t m_usable = 0;
     std::int64_t m_busy = 0;
     std::map<std::string, std::int64_t> m_busy_by_class;
-    bool m_exclusive = false;    ///< Whether a suspect runs there alone.
-    bool m_leaving = false;      ///< By the platform's list or the endpoint's own answer.
-    Instant m_backoff_until{};   ///< After a refusal or a failed connect.
+    bool m_exclusive = false;     ///< Whether a suspect runs there alone.
+    bool m_leaving = false;       ///< By the platform's list or the endpoint's own answer.
+    Instant m_backoff_until{};    ///< After a refusal or a failed connect.
     std::int64_t m_refusals = 0;  ///< Refusals and failed connects in a row.
     std::int64_t m_last_used = 0;
     bool m_in_free_set = false;
@@ -37,13 +37,14 @@
   /// What a request needs of an endpoint.
   struct Need {
     std::string m_class_name;
-    double m_max_share = 1;               ///< Share of one endpoint's slots that the class may hold.
-    bool m_alone = false;                 ///< Whether it must have an endpoint to itself.
-    bool m_repeatable = true;             ///< Canaries take repeatable requests only.
+    double m_max_share = 1;    ///< Share of one endpoint's slots that the class may hold.
+    bool m_alone = false;      ///< Whether it must have an endpoint to itself.
+    bool m_repeatable = true;  ///< Canaries take repeatable requests only.
     const std::set<std::string>* m_avoid = nullptr;  ///< Endpoints that failed the request.
   };
 
-  EndpointTable(HealthMonitor& health, std::string own_zone) : m_health(health), m_own_zone(std::move(own_zone)) {}
+  EndpointTable(HealthMonitor& health, std::string own_zone)
+      : m_health(health), m_own_zone(std::move(own_zone)) {}
 
   /// Sets the endpoints of the pool; known ones keep their state.
   void Configure(const ObjectSet& set, const Pool& pool, double floor, Instant now);
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -11,7 +11,7 @@
 constexpr std::int64_t kMaxRefusals = 50;       ///< Sheds and failed connects of one request before it ends.
 constexpr std::int64_t kStarvationPeriod = 20;  ///< A starved class gets one of this many free slots.
 constexpr std::size_t kMaxLookAhead = 8;        ///< Requests of one class looked at for a free slot.
-constexpr double kProgressFactor = 8;           ///< Multiple of the mean service time that counts as progress.
+constexpr double kProgressFactor = 8;  ///< Multiple of the mean service time that counts as progress.
 constexpr std::size_t kMaxRoutesTracked = 10000;
 
 bool CertainlyDidNotRun(AttemptOutcome outcome) {
@@ -20,7 +20,8 @@
 
 }  // namespace
 
-FairDispatcher::FairDispatcher(std::string service, std::string node, const std::string& zone, HealthSettings health)
+FairDispatcher::FairDispatcher(std::string service, std::string node, const std::string& zone,
+                               HealthSettings health)
     : m_service(std::move(service)), m_node(std::move(node)), m_health(health), m_endpoints(m_health, zone) {}
 
 void FairDispatcher::Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) {
@@ -85,7 +86,8 @@
   return FromSeconds(seconds);
 }
 
-bool FairDispatcher::RefuseEarly(const Pending& pending, const ClassState& state, Instant now, DispatchEffects& out) {
+bool FairDispatcher::RefuseEarly(const Pending& pending, const ClassState& state, Instant now,
+                                 DispatchEffects& out) {
   ResultCode code = ResultCode::kOk;
   const Duration wait = ExpectedWait(state);
   const bool too_long = wait > std::chrono::milliseconds(state.m_priority.m_max_wait_ms);
@@ -100,7 +102,8 @@
   DecisionRecord record = MakeRecord(pending, now);
   record.m_outcome = Info(code).m_name;
   const auto retry_ms = std::max<std::int64_t>(1, wait.count() / 1000);
-  out.emplace_back(FinishRequest{pending.m_request.m_request_id, static_cast<std::int64_t>(code), retry_ms, 0, record});
+  out.emplace_back(
+      FinishRequest{pending.m_request.m_request_id, static_cast<std::int64_t>(code), retry_ms, 0, record});
   return true;
 }
 
@@ -118,8 +121,8 @@
   state.m_demand.AddArrival(now);
   UpdateBounds(now);
   if (RefuseEarly(pending, state, now, out)) return;
-  pending.m_start_tag =
-      state.m_queue.Push(request.m_request_id, request.m_account, pending.m_weight, pending.m_arrival_sequence);
+  pending.m_start_tag = state.m_queue.Push(request.m_request_id, request.m_account, pending.m_weight,
+                                           pending.m_arrival_sequence);
   m_deadlines.emplace(request.m_deadline, request.m_request_id);
   m_pending.emplace(request.m_request_id, std::move(pending));
   Pump(now, out);
@@ -149,7 +152,8 @@
   for (ClassState* state : classes) {
     if (state->m_queue.Empty()) continue;
     if (auto choice = ChooseIn(*state, now)) {
-      if (first && classes.size() > 1 && choice->m_rule == OrderRule::kArrival) choice->m_rule = OrderRule::kPriority;
+      if (first && classes.size() > 1 && choice->m_rule == OrderRule::kArrival)
+        choice->m_rule = OrderRule::kPriority;
       return choice;
     }
     first = false;
@@ -196,9 +200,9 @@
   choice.m_class->m_picks_of_others = 0;
   // Send.
   const Endpoint& endpoint = choice.m_slots->m_endpoint;
-  out.emplace_back(StartAttempt{entry.m_request_id, pending.m_attempts, choice.m_slots->m_name, endpoint.m_address,
-                                endpoint.m_port, m_pool.m_max_connections, ProgressTimeout(pending),
-                                pending.m_request.m_deadline,
+  out.emplace_back(StartAttempt{entry.m_request_id, pending.m_attempts, choice.m_slots->m_name,
+                                endpoint.m_address, endpoint.m_port, m_pool.m_max_connections,
+                                ProgressTimeout(pending), pending.m_request.m_deadline,
                                 !pending.m_request.m_repeatable || pending.m_retries > 0, std::move(record)});
 }
 
@@ -231,8 +235,8 @@
   record.m_slots = m_endpoints.TotalUsable();
   record.m_busy = m_endpoints.TotalBusy();
   for (const auto& [name, state] : m_classes) {
-    record.m_classes.push_back({name, state.m_priority.m_rank, state.m_queue.Size(), state.m_running, state.m_bound,
-                                state.m_reserve});
+    record.m_classes.push_back({name, state.m_priority.m_rank, state.m_queue.Size(), state.m_running,
+                                state.m_bound, state.m_reserve});
   }
   return record;
 }
@@ -249,7 +253,8 @@
   }
 }
 
-OrderRule FairDispatcher::WhyPassedOver(const Choice& choice, const ClassState& other, const Pending& older) const {
+OrderRule FairDispatcher::WhyPassedOver(const Choice& choice, const ClassState& other,
+                                        const Pending& older) const {
   if (choice.m_rule == OrderRule::kStarvation) return OrderRule::kStarvation;
   if (m_suspects.IsSuspect(older.m_request.m_fingerprint)) return OrderRule::kIsolation;
   if (!older.m_failed_endpoints.empty()) return OrderRule::kRetry;
@@ -272,7 +277,8 @@
   record.m_endpoint = pending.m_endpoint;
   const std::string request_id = pending.m_request.m_request_id;
   out.emplace_back(FinishRequest{request_id, static_cast<std::int64_t>(code),
-                                 std::max<std::int64_t>(1, retry_after.count() / 1000), 0, std::move(record)});
+                                 std::max<std::int64_t>(1, retry_after.count() / 1000), 0,
+                                 std::move(record)});
   m_pending.erase(request_id);
 }
 
@@ -289,7 +295,8 @@
   state.m_queue.PutBack(pending.m_request.m_request_id, pending.m_start_tag, pending.m_arrival_sequence);
   m_deadlines.emplace(pending.m_request.m_deadline, pending.m_request.m_request_id);
   // When every endpoint has failed it once, any may be tried again.
-  if (static_cast<std::int64_t>(pending.m_failed_endpoints.size()) >= static_cast<std::int64_t>(m_pool.m_endpoints.size())) {
+  if (static_cast<std::int64_t>(pending.m_failed_endpoints.size()) >=
+      static_cast<std::int64_t>(m_pool.m_endpoints.size())) {
     pending.m_failed_endpoints.clear();
   }
   UpdateBounds(now);
@@ -301,7 +308,8 @@
   Pending& pending = found->second;
   if (!pending.m_running) {
     DropQueued(pending);
-    Finish(pending, pending.m_maybe_ran ? ResultCode::kOutcomeUnknown : ResultCode::kNotRun, Duration(0), now, out);
+    Finish(pending, pending.m_maybe_ran ? ResultCode::kOutcomeUnknown : ResultCode::kNotRun, Duration(0), now,
+           out);
   } else if (pending.m_request.m_repeatable) {
     // The slot stays taken until the endpoint is known to have stopped.
     out.emplace_back(CancelAttempt{request_id, pending.m_attempts});
@@ -310,7 +318,8 @@
 
 void FairDispatcher::EndAttempt(const AttemptResult& result, Instant now, DispatchEffects& out) {
   const auto found = m_pending.find(result.m_request_id);
-  if (found == m_pending.end() || !found->second.m_running || found->second.m_attempts != result.m_attempt) return;
+  if (found == m_pending.end() || !found->second.m_running || found->second.m_attempts != result.m_attempt)
+    return;
   Pending& pending = found->second;
   ClassState& state = ClassOf(pending.m_request.m_class_name);
   pending.m_running = false;
@@ -320,7 +329,8 @@
   if (result.m_outcome == AttemptOutcome::kAnswered) {
     state.m_demand.AddServiceTime(result.m_latency);
     if (m_route_service_time.size() < kMaxRoutesTracked) {
-      m_route_service_time.try_emplace(pending.m_request.m_route, 0.02).first->second.Add(ToSeconds(result.m_latency));
+      m_route_service_time.try_emplace(pending.m_request.m_route, 0.02)
+          .first->second.Add(ToSeconds(result.m_latency));
     }
     m_suspects.Clear(pending.m_request.m_fingerprint);
     m_endpoints.Accepted(pending.m_endpoint);
@@ -333,7 +343,8 @@
 
 void FairDispatcher::ObserveHealth(const Pending& pending, const AttemptResult& result, Instant now,
                                    DispatchEffects& out) {
-  ReportChanges(m_health.Observe(pending.m_endpoint, pending.m_request.m_route, result.m_outcome, result.m_latency, now),
+  ReportChanges(m_health.Observe(pending.m_endpoint, pending.m_request.m_route, result.m_outcome,
+                                 result.m_latency, now),
                 out);
   if (result.m_draining) m_endpoints.SetLeaving(pending.m_endpoint, true, now);
 }
@@ -343,7 +354,8 @@
 }
 
 bool FairDispatcher::MayRetry(const Pending& pending, const AttemptResult& result, Instant now) {
-  const Duration service_time = FromSeconds(ClassOf(pending.m_request.m_class_name).m_demand.MeanServiceTime());
+  const Duration service_time =
+      FromSeconds(ClassOf(pending.m_request.m_class_name).m_demand.MeanServiceTime());
   if (result.m_answer_started || !result.m_body_replayable) return false;
   if (now + service_time > pending.m_request.m_deadline) return false;
   if (CertainlyDidNotRun(result.m_outcome)) return pending.m_attempts < kMaxRefusals;
@@ -386,7 +398,8 @@
   while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
     Pending& pending = m_pending.at(m_deadlines.begin()->second);
     DropQueued(pending);
-    Finish(pending, pending.m_maybe_ran ? ResultCode::kDeadlineExceeded : ResultCode::kNotRun, Duration(0), now, out);
+    Finish(pending, pending.m_maybe_ran ? ResultCode::kDeadlineExceeded : ResultCode::kNotRun, Duration(0),
+           now, out);
   }
 }
 
@@ -409,7 +422,8 @@
   Pump(now, out);
 }
 
-void FairDispatcher::SetLeaving(const std::string& endpoint, bool leaving, Instant now, DispatchEffects& out) {
+void FairDispatcher::SetLeaving(const std::string& endpoint, bool leaving, Instant now,
+                                DispatchEffects& out) {
   m_endpoints.SetLeaving(endpoint, leaving, now);
   Pump(now, out);
 }
--- a/fescueramp/dispatch/request_queue.h
+++ b/fescueramp/dispatch/request_queue.h
@@ -26,7 +26,8 @@
   };
 
   /// Adds a request and returns its start tag.
-  double Push(const std::string& request_id, const std::string& account, double weight, std::int64_t arrival_sequence);
+  double Push(const std::string& request_id, const std::string& account, double weight,
+              std::int64_t arrival_sequence);
 
   /// Puts back a request with the tag it had.
   void PutBack(const std::string& request_id, double start_tag, std::int64_t arrival_sequence);
--- a/fescueramp/health/health_monitor.cc
+++ b/fescueramp/health/health_monitor.cc
@@ -8,8 +8,9 @@
 namespace {
 
 constexpr double kHighestErrorRate = 0.95;
-constexpr double kIllToNormalRatio = 8;   ///< An ill endpoint errs at least this many times as often as the others.
-constexpr double kEvidenceShare = 0.25;   ///< Share of the threshold from which an endpoint has evidence.
+constexpr double kIllToNormalRatio =
+    8;  ///< An ill endpoint errs at least this many times as often as the others.
+constexpr double kEvidenceShare = 0.25;  ///< Share of the threshold from which an endpoint has evidence.
 constexpr Duration kShortestLatency = std::chrono::microseconds(1);
 
 bool IsError(AttemptOutcome outcome) {
@@ -86,21 +87,24 @@
   if (record.m_state == HealthState::kEjected) return {};
   AddErrorEvidence(record, error);
   bool slow = false;
-  if (!error) slow = AddLatencyEvidence(record, work, static_cast<double>(std::max(latency, kShortestLatency).count()));
+  if (!error)
+    slow = AddLatencyEvidence(record, work, static_cast<double>(std::max(latency, kShortestLatency).count()));
   if (record.m_state == HealthState::kCanary) return JudgeCanary(endpoint, record, !error && !slow, now);
   return Judge(endpoint, record, now);
 }
 
 void HealthMonitor::AddErrorEvidence(EndpointRecord& record, bool error) {
   const double normal = std::max(m_settings.m_min_error_rate, PooledErrorRate(record));
-  const double ill = std::min(kHighestErrorRate, std::max(m_settings.m_ill_error_rate, normal * kIllToNormalRatio));
+  const double ill =
+      std::min(kHighestErrorRate, std::max(m_settings.m_ill_error_rate, normal * kIllToNormalRatio));
   // When the others fail nearly as often, errors tell nothing about this endpoint.
   if (normal < ill) record.m_errors.Add(error, normal, ill);
   record.m_error_rate.Add(error ? 1 : 0);
 }
 
 bool HealthMonitor::AddLatencyEvidence(EndpointRecord& record, const std::string& work, double latency) {
-  auto& baseline = m_baselines.try_emplace(work, Baseline{QuantileTracker(m_settings.m_slow_quantile)}).first->second;
+  auto& baseline =
+      m_baselines.try_emplace(work, Baseline{QuantileTracker(m_settings.m_slow_quantile)}).first->second;
   const bool slow = baseline.m_slow.Count() >= m_settings.m_min_baseline && latency > baseline.m_slow.Value();
   if (baseline.m_slow.Count() >= m_settings.m_min_baseline) {
     record.m_latency.Add(slow, 1 - m_settings.m_slow_quantile, m_settings.m_ill_slow_rate);
@@ -139,7 +143,8 @@
   return leaving == 0 || SlotsInService() - leaving >= FloorSlots();
 }
 
-HealthChange HealthMonitor::Move(const std::string& name, EndpointRecord& record, HealthState state, Instant now) {
+HealthChange HealthMonitor::Move(const std::string& name, EndpointRecord& record, HealthState state,
+                                 Instant now) {
   record.m_state = state;
   record.m_since = now;
   HealthChange change{name, state, record.m_reason, record.m_errors.Sum(), record.m_latency.Sum()};
@@ -148,11 +153,13 @@
   return change;
 }
 
-HealthChange HealthMonitor::Eject(const std::string& name, EndpointRecord& record, std::string reason, Instant now) {
+HealthChange HealthMonitor::Eject(const std::string& name, EndpointRecord& record, std::string reason,
+                                  Instant now) {
   assert(MayEject(record));
   if (now - record.m_since > m_settings.m_forget) record.m_ejections = 0;
   // Each ejection that follows soon doubles the stay, so flapping endpoints stay out longer.
-  record.m_stay = std::min(m_settings.m_longest_stay, m_settings.m_first_stay * (1 << std::min<std::int64_t>(record.m_ejections, 8)));
+  record.m_stay = std::min(m_settings.m_longest_stay,
+                           m_settings.m_first_stay * (1 << std::min<std::int64_t>(record.m_ejections, 8)));
   ++record.m_ejections;
   record.m_canary_successes = 0;
   record.m_reason = std::move(reason);
@@ -168,8 +175,8 @@
   return {Eject(name, record, failing ? "fails real work" : "slow at real work", now)};
 }
 
-std::vector<HealthChange> HealthMonitor::JudgeCanary(const std::string& name, EndpointRecord& record, bool good,
-                                                     Instant now) {
+std::vector<HealthChange> HealthMonitor::JudgeCanary(const std::string& name, EndpointRecord& record,
+                                                     bool good, Instant now) {
   if (!good) return {Eject(name, record, "failed a canary request", now)};
   if (++record.m_canary_successes < m_settings.m_canary_successes) return {};
   record.m_reason = "canary requests succeeded";
--- a/fescueramp/health/health_monitor.h
+++ b/fescueramp/health/health_monitor.h
@@ -47,18 +47,18 @@
 
 /// Bounds and rates of the health decisions.
 struct HealthSettings {
-  double m_threshold = 13.0;       ///< CUSUM threshold; at least e^13 answers between false alarms.
-  double m_min_error_rate = 0.01;  ///< Error rate always taken as normal.
-  double m_ill_error_rate = 0.4;   ///< Error rate of an ill endpoint.
-  double m_slow_quantile = 0.9;    ///< Answers above this quantile of the service count as slow.
-  double m_ill_slow_rate = 0.6;    ///< Share of slow answers of an ill endpoint.
-  double m_shared_share = 0.5;     ///< Share of endpoints with evidence from which the cause is shared.
-  std::int64_t m_min_baseline = 100;                 ///< Answers before latency is judged.
-  std::int64_t m_canary_successes = 3;               ///< Good answers before an endpoint returns.
-  Duration m_first_stay = std::chrono::seconds(5);   ///< Length of the first ejection.
+  double m_threshold = 13.0;            ///< CUSUM threshold; at least e^13 answers between false alarms.
+  double m_min_error_rate = 0.01;       ///< Error rate always taken as normal.
+  double m_ill_error_rate = 0.4;        ///< Error rate of an ill endpoint.
+  double m_slow_quantile = 0.9;         ///< Answers above this quantile of the service count as slow.
+  double m_ill_slow_rate = 0.6;         ///< Share of slow answers of an ill endpoint.
+  double m_shared_share = 0.5;          ///< Share of endpoints with evidence from which the cause is shared.
+  std::int64_t m_min_baseline = 100;    ///< Answers before latency is judged.
+  std::int64_t m_canary_successes = 3;  ///< Good answers before an endpoint returns.
+  Duration m_first_stay = std::chrono::seconds(5);     ///< Length of the first ejection.
   Duration m_longest_stay = std::chrono::seconds(60);  ///< Longest ejection.
-  Duration m_forget = std::chrono::seconds(120);     ///< Health after which earlier ejections are forgotten.
-  Duration m_ramp = std::chrono::seconds(2);         ///< Time from the last canary to all slots.
+  Duration m_forget = std::chrono::seconds(120);  ///< Health after which earlier ejections are forgotten.
+  Duration m_ramp = std::chrono::seconds(2);      ///< Time from the last canary to all slots.
 };
 
 /// A change of an endpoint's health, with the evidence.
@@ -100,8 +100,8 @@
 
   /// Adds the evidence of one finished attempt.
   /// @param work Kind of work, whose latencies are comparable.
-  std::vector<HealthChange> Observe(const std::string& endpoint, const std::string& work, AttemptOutcome outcome,
-                                    Duration latency, Instant now);
+  std::vector<HealthChange> Observe(const std::string& endpoint, const std::string& work,
+                                    AttemptOutcome outcome, Duration latency, Instant now);
 
   /// Moves endpoints on whose stay or ramp is over.
   std::vector<HealthChange> Tick(Instant now);
@@ -130,7 +130,8 @@
   HealthChange Move(const std::string& name, EndpointRecord& record, HealthState state, Instant now);
   HealthChange Eject(const std::string& name, EndpointRecord& record, std::string reason, Instant now);
   std::vector<HealthChange> Judge(const std::string& name, EndpointRecord& record, Instant now);
-  std::vector<HealthChange> JudgeCanary(const std::string& name, EndpointRecord& record, bool good, Instant now);
+  std::vector<HealthChange> JudgeCanary(const std::string& name, EndpointRecord& record, bool good,
+                                        Instant now);
 
   HealthSettings m_settings;
   double m_floor = 0.5;
--- a/fescueramp/journal/decision_record.h
+++ b/fescueramp/journal/decision_record.h
@@ -58,23 +58,24 @@
   std::string m_route;
   std::string m_class_name;
   std::string m_account;
-  double m_weight = 1;          ///< Weight of the account.
-  Instant m_arrival{};          ///< Arrival at the dispatcher.
-  Instant m_decided{};          ///< Time of this decision.
+  double m_weight = 1;  ///< Weight of the account.
+  Instant m_arrival{};  ///< Arrival at the dispatcher.
+  Instant m_decided{};  ///< Time of this decision.
   std::int64_t m_arrival_sequence = 0;
-  double m_start_tag = 0;       ///< Place of the request in its account's fair share.
+  double m_start_tag = 0;  ///< Place of the request in its account's fair share.
   std::int64_t m_attempt = 0;
-  std::string m_endpoint;       ///< Empty when the request was not sent.
-  std::string m_outcome;        ///< Result name when the request was not sent.
+  std::string m_endpoint;  ///< Empty when the request was not sent.
+  std::string m_outcome;   ///< Result name when the request was not sent.
   OrderRule m_rule = OrderRule::kArrival;
-  std::int64_t m_slots = 0;     ///< Usable slots of the service.
-  std::int64_t m_busy = 0;      ///< Slots in use, this one included.
+  std::int64_t m_slots = 0;  ///< Usable slots of the service.
+  std::int64_t m_busy = 0;   ///< Slots in use, this one included.
   std::vector<ClassSnapshot> m_classes;
   std::vector<PassedOver> m_passed_over;
 };
 BOOST_DESCRIBE_STRUCT(DecisionRecord, (),
                       (m_request_id, m_entry_node, m_dispatcher, m_sequence, m_revision, m_service, m_route,
-                       m_class_name, m_account, m_weight, m_arrival, m_decided, m_arrival_sequence, m_start_tag,
-                       m_attempt, m_endpoint, m_outcome, m_rule, m_slots, m_busy, m_classes, m_passed_over))
+                       m_class_name, m_account, m_weight, m_arrival, m_decided, m_arrival_sequence,
+                       m_start_tag, m_attempt, m_endpoint, m_outcome, m_rule, m_slots, m_busy, m_classes,
+                       m_passed_over))
 
 }  // namespace fescueramp
--- a/fescueramp/journal/explain.cc
+++ b/fescueramp/journal/explain.cc
@@ -49,8 +49,8 @@
   if (!snapshot) return {};
   std::ostringstream text;
   text << "class " << name << " held " << snapshot->m_running << " of the " << snapshot->m_bound
-       << " slots it could hold, leaving " << snapshot->m_reserve << " for shorter work, with " << snapshot->m_queued
-       << " queued";
+       << " slots it could hold, leaving " << snapshot->m_reserve << " for shorter work, with "
+       << snapshot->m_queued << " queued";
   return text.str();
 }
 
@@ -61,8 +61,9 @@
     if (passed.m_request_id == waiting.m_request_id) return passed.m_rule;
   }
   if (served.m_arrival_sequence < waiting.m_arrival_sequence && served.m_class_name == waiting.m_class_name) {
-    return served.m_account == waiting.m_account || served.m_start_tag == waiting.m_start_tag ? OrderRule::kArrival
-                                                                                            : OrderRule::kFairShare;
+    return served.m_account == waiting.m_account || served.m_start_tag == waiting.m_start_tag
+               ? OrderRule::kArrival
+               : OrderRule::kFairShare;
   }
   if (served.m_rule == OrderRule::kStarvation) return OrderRule::kStarvation;
   if (served.m_class_name == waiting.m_class_name) return OrderRule::kFairShare;
@@ -85,8 +86,9 @@
            << waiting.m_arrival_sequence << ".";
       break;
     case OrderRule::kPriority:
-      text << "Its class " << served.m_class_name << " has rank " << (mine ? mine->m_rank : 0) << ", which goes before "
-           << waiting.m_class_name << " with rank " << (other ? other->m_rank : 0) << ".";
+      text << "Its class " << served.m_class_name << " has rank " << (mine ? mine->m_rank : 0)
+           << ", which goes before " << waiting.m_class_name << " with rank " << (other ? other->m_rank : 0)
+           << ".";
       break;
     case OrderRule::kFairShare:
       text << "Account \"" << served.m_account << "\" (weight " << Number(served.m_weight)
@@ -95,7 +97,8 @@
            << Number(waiting.m_start_tag) << ".";
       break;
     case OrderRule::kClassShare:
-      text << "The other request's class had no slot left: " << ClassFigures(served, waiting.m_class_name) << ".";
+      text << "The other request's class had no slot left: " << ClassFigures(served, waiting.m_class_name)
+           << ".";
       break;
     case OrderRule::kSlotReserve:
       text << "The other request's class had to leave slots for shorter work: "
@@ -105,7 +108,8 @@
       text << "Its class had waited longer than its starvation bound and got its turn.";
       break;
     case OrderRule::kIsolation:
-      text << "The other request was running when an endpoint broke off, so it had to wait for an empty endpoint.";
+      text << "The other request was running when an endpoint broke off, so it had to wait for an empty "
+              "endpoint.";
       break;
     case OrderRule::kRetry:
       text << "The other request was a retry that could not go to the endpoint that was free.";
@@ -121,8 +125,8 @@
   for (const auto& record : records) {
     std::ostringstream text;
     if (record.m_service.empty()) {
-      text << "Request " << record.m_request_id << " ended at dispatcher " << record.m_dispatcher << " before the queue: "
-           << record.m_outcome << ".";
+      text << "Request " << record.m_request_id << " ended at dispatcher " << record.m_dispatcher
+           << " before the queue: " << record.m_outcome << ".";
       sentences.push_back(text.str());
       continue;
     }
@@ -133,16 +137,16 @@
     sentences.push_back(text.str());
     text.str({});
     if (!WasSent(record)) {
-      text << "It ended as " << record.m_outcome << " after " << Ms(record.m_decided - record.m_arrival) << ", with "
-           << record.m_busy << " of " << record.m_slots << " slots in use; "
+      text << "It ended as " << record.m_outcome << " after " << Ms(record.m_decided - record.m_arrival)
+           << ", with " << record.m_busy << " of " << record.m_slots << " slots in use; "
            << ClassFigures(record, record.m_class_name) << ".";
       sentences.push_back(text.str());
       continue;
     }
     text << "Attempt " << record.m_attempt << " went to endpoint " << record.m_endpoint << " after "
          << Ms(record.m_decided - record.m_arrival) << " as decision " << record.m_sequence << ", with "
-         << record.m_busy << " of " << record.m_slots << " slots in use; " << ClassFigures(record, record.m_class_name)
-         << ".";
+         << record.m_busy << " of " << record.m_slots << " slots in use; "
+         << ClassFigures(record, record.m_class_name) << ".";
     sentences.push_back(text.str());
     for (const auto& passed : record.m_passed_over) {
       sentences.push_back("It went before the older request " + passed.m_request_id + " of class " +
@@ -158,7 +162,8 @@
   const DecisionRecord& a = Decisive(first);
   const DecisionRecord& b = Decisive(second);
   if (a.m_service != b.m_service || a.m_service.empty()) {
-    result.m_sentences.push_back("The two requests never competed: they were for different services or never queued.");
+    result.m_sentences.push_back(
+        "The two requests never competed: they were for different services or never queued.");
     return result;
   }
   if (a.m_dispatcher != b.m_dispatcher) {
@@ -167,8 +172,9 @@
                                  b.m_dispatcher + ", which did not share a queue.");
     if (apart <= clock_uncertainty) {
       result.m_verdict = OrderVerdict::kUnknown;
-      result.m_sentences.push_back("Their decisions were " + Ms(apart) + " apart, within the clock uncertainty of " +
-                                   Ms(clock_uncertainty) + ", so their order can't be known.");
+      result.m_sentences.push_back("Their decisions were " + Ms(apart) +
+                                   " apart, within the clock uncertainty of " + Ms(clock_uncertainty) +
+                                   ", so their order can't be known.");
     } else {
       result.m_sentences.push_back("They did not compete for a place in one queue; by the clocks they were " +
                                    Ms(apart) + " apart.");
@@ -185,8 +191,8 @@
     return result;
   }
   if (!WasSent(served)) {
-    result.m_sentences.push_back("Request " + served.m_request_id + " was not sent to an endpoint: it ended as " +
-                                 served.m_outcome + ".");
+    result.m_sentences.push_back("Request " + served.m_request_id +
+                                 " was not sent to an endpoint: it ended as " + served.m_outcome + ".");
     return result;
   }
   result.m_verdict = a_first ? OrderVerdict::kFirstServedFirst : OrderVerdict::kSecondServedFirst;
--- a/fescueramp/journal/receipt.h
+++ b/fescueramp/journal/receipt.h
@@ -22,8 +22,8 @@
   std::string m_endpoint;
 };
 BOOST_DESCRIBE_STRUCT(Receipt, (),
-                      (m_request_id, m_dispatcher, m_sequence, m_revision, m_arrival, m_decided, m_class_name, m_rule,
-                       m_endpoint))
+                      (m_request_id, m_dispatcher, m_sequence, m_revision, m_arrival, m_decided, m_class_name,
+                       m_rule, m_endpoint))
 
 /// Makes a receipt that holds up after every node is gone: the facts with a code made with `key`.
 std::string MakeReceipt(const DecisionRecord& record, std::string_view key);
--- a/fescueramp/membership/gossip_codec.cc
+++ b/fescueramp/membership/gossip_codec.cc
@@ -12,8 +12,10 @@
 
 /// Members travel as arrays, which halves the datagram; the order is fixed.
 json::value MemberToArray(const Member& m) {
-  return json::array{m.m_node,        static_cast<std::int64_t>(m.m_state), m.m_incarnation, m.m_address,
-                     m.m_gossip_port, m.m_link_port,                        m.m_zone,        m.m_region};
+  return json::array{m.m_node,        static_cast<std::int64_t>(m.m_state),
+                     m.m_incarnation, m.m_address,
+                     m.m_gossip_port, m.m_link_port,
+                     m.m_zone,        m.m_region};
 }
 
 Member MemberFromArray(const json::value& value) {
@@ -39,8 +41,12 @@
 std::string EncodeGossip(const GossipMessage& message, std::string_view key) {
   json::array news;
   for (const auto& member : message.m_news) news.push_back(MemberToArray(member));
-  json::array body{static_cast<std::int64_t>(message.m_kind), message.m_from, message.m_probe, message.m_target,
-                   message.m_revision, std::move(news)};
+  json::array body{static_cast<std::int64_t>(message.m_kind),
+                   message.m_from,
+                   message.m_probe,
+                   message.m_target,
+                   message.m_revision,
+                   std::move(news)};
   if (message.m_leaving_version > 0) {
     body.push_back(message.m_leaving_version);
     body.push_back(ToJson(message.m_leaving_endpoints));
--- a/fescueramp/membership/member.h
+++ b/fescueramp/membership/member.h
@@ -30,7 +30,8 @@
   std::string m_region;
 };
 BOOST_DESCRIBE_STRUCT(Member, (),
-                      (m_node, m_state, m_incarnation, m_address, m_gossip_port, m_link_port, m_zone, m_region))
+                      (m_node, m_state, m_incarnation, m_address, m_gossip_port, m_link_port, m_zone,
+                       m_region))
 
 /// Kinds of datagram.
 enum class GossipKind {
@@ -43,22 +44,24 @@
 
 template <>
 struct EnumTable<GossipKind> {
-  static constexpr std::array<std::string_view, 5> kNames = {"ping", "ack", "ping_request", "announce", "join"};
+  static constexpr std::array<std::string_view, 5> kNames = {"ping", "ack", "ping_request", "announce",
+                                                             "join"};
 };
 
 /// One datagram between nodes.
 struct GossipMessage {
   GossipKind m_kind = GossipKind::kPing;
   std::string m_from;
-  std::int64_t m_probe = 0;      ///< Number of the probe that the message belongs to.
-  std::string m_target;          ///< Node that a ping is meant for; for an ack, the node that is alive.
-  std::int64_t m_revision = 0;   ///< Configuration revision that the sender has in force.
+  std::int64_t m_probe = 0;     ///< Number of the probe that the message belongs to.
+  std::string m_target;         ///< Node that a ping is meant for; for an ack, the node that is alive.
+  std::int64_t m_revision = 0;  ///< Configuration revision that the sender has in force.
   std::vector<Member> m_news;
   std::vector<std::string> m_leaving_endpoints;  ///< Endpoints that the platform lists as leaving.
   std::int64_t m_leaving_version = 0;            ///< Version of that list.
 };
 BOOST_DESCRIBE_STRUCT(GossipMessage, (),
-                      (m_kind, m_from, m_probe, m_target, m_revision, m_news, m_leaving_endpoints, m_leaving_version))
+                      (m_kind, m_from, m_probe, m_target, m_revision, m_news, m_leaving_endpoints,
+                       m_leaving_version))
 
 /// Sends one datagram.
 struct SendGossip {
--- a/fescueramp/membership/membership.cc
+++ b/fescueramp/membership/membership.cc
@@ -7,7 +7,7 @@
 namespace fescueramp {
 namespace {
 
-constexpr int kSpreadFactor = 3;      ///< News are sent this many times the logarithm of the fleet's size.
+constexpr int kSpreadFactor = 3;  ///< News are sent this many times the logarithm of the fleet's size.
 constexpr int kMaxLocalHealth = 4;
 constexpr int kMaxSpread = 60;
 constexpr std::size_t kMaxErrands = 256;
@@ -65,9 +65,12 @@
   const double fleet = static_cast<double>(m_members.size());
   const int enough = std::min(kMaxSpread, kSpreadFactor * static_cast<int>(std::ceil(std::log2(fleet + 1))));
   for (const auto& [sent, node] : order) {
-    if (const auto member = m_members.find(node); member != m_members.end()) message.m_news.push_back(member->second);
-    if (sent + 1 >= enough) m_news.erase(node);
-    else ++m_news[node];
+    if (const auto member = m_members.find(node); member != m_members.end())
+      message.m_news.push_back(member->second);
+    if (sent + 1 >= enough)
+      m_news.erase(node);
+    else
+      ++m_news[node];
   }
   return message;
 }
@@ -111,11 +114,14 @@
   if (!newer) return;
   const bool state_changed = news.m_state != known.m_state;
   known = news;
-  if (state_changed) SetState(known, news.m_state, now);
-  else Spread(news.m_node);
+  if (state_changed)
+    SetState(known, news.m_state, now);
+  else
+    Spread(news.m_node);
 }
 
-void Membership::Receive(const GossipMessage& message, const std::string& address, std::int64_t port, Instant now) {
+void Membership::Receive(const GossipMessage& message, const std::string& address, std::int64_t port,
+                         Instant now) {
   if (message.m_from == m_self) return;
   for (const auto& news : message.m_news) Merge(news, now);
   switch (message.m_kind) {
@@ -221,7 +227,8 @@
   const Duration waited = now - m_probe.m_started;
   if (waited >= m_settings.m_ack_timeout && !m_probe.m_asked_others) {
     m_probe.m_asked_others = true;
-    for (const auto& peer : RandomPeers(static_cast<std::size_t>(m_settings.m_indirect_probes), m_probe.m_target)) {
+    for (const auto& peer :
+         RandomPeers(static_cast<std::size_t>(m_settings.m_indirect_probes), m_probe.m_target)) {
       GossipMessage request = NewMessage(GossipKind::kPingRequest);
       request.m_probe = m_probe.m_number;
       request.m_target = m_probe.m_target;
@@ -248,7 +255,8 @@
   for (auto& [name, member] : m_members) {
     if (name == m_self) continue;
     const Duration age = now - m_changed[name];
-    if (member.m_state == MemberState::kSuspect && age >= SuspicionTime()) SetState(member, MemberState::kDead, now);
+    if (member.m_state == MemberState::kSuspect && age >= SuspicionTime())
+      SetState(member, MemberState::kDead, now);
     const bool gone = member.m_state == MemberState::kDead || member.m_state == MemberState::kLeft;
     if (gone && now - m_changed[name] >= m_settings.m_forget_dead) forgotten.push_back(name);
   }
@@ -257,7 +265,8 @@
     m_changed.erase(name);
     m_news.erase(name);
   }
-  std::erase_if(m_errands, [&](const auto& item) { return now - item.second.m_started > 2 * m_settings.m_period; });
+  std::erase_if(m_errands,
+                [&](const auto& item) { return now - item.second.m_started > 2 * m_settings.m_period; });
 }
 
 void Membership::Tick(Instant now) {
--- a/fescueramp/membership/membership.h
+++ b/fescueramp/membership/membership.h
@@ -12,14 +12,14 @@
 
 /// Times and bounds of the membership protocol.
 struct MembershipSettings {
-  Duration m_period = std::chrono::seconds(1);             ///< One probe is started per period.
+  Duration m_period = std::chrono::seconds(1);              ///< One probe is started per period.
   Duration m_ack_timeout = std::chrono::milliseconds(300);  ///< Wait for an ack before others are asked.
-  int m_indirect_probes = 3;                               ///< Nodes asked to probe on one's behalf.
-  Duration m_min_suspicion = std::chrono::seconds(3);      ///< Time to refute a suspicion, for a small fleet.
-  int m_news_per_message = 6;                              ///< Members carried by one datagram.
-  int m_announce_fanout = 4;                               ///< Nodes told at once of important news.
-  int m_members_per_welcome = 10;                          ///< Members in one datagram of a whole list.
-  Duration m_forget_dead = std::chrono::minutes(10);       ///< Time after which a dead node is forgotten.
+  int m_indirect_probes = 3;                                ///< Nodes asked to probe on one's behalf.
+  Duration m_min_suspicion = std::chrono::seconds(3);  ///< Time to refute a suspicion, for a small fleet.
+  int m_news_per_message = 6;                          ///< Members carried by one datagram.
+  int m_announce_fanout = 4;                           ///< Nodes told at once of important news.
+  int m_members_per_welcome = 10;                      ///< Members in one datagram of a whole list.
+  Duration m_forget_dead = std::chrono::minutes(10);   ///< Time after which a dead node is forgotten.
 };
 
 /// A seed address, from the settings or the platform's host list.
@@ -35,7 +35,8 @@
 /// Source: A. Das, I. Gupta, A. Motivala, "SWIM", 2002; A. Dadgar, J. Phillips, J. Currey, "Lifeguard", 2018.
 class Membership {
  public:
-  Membership(Member self, std::vector<SeedAddress> seeds, MembershipSettings settings, std::uint32_t random_seed);
+  Membership(Member self, std::vector<SeedAddress> seeds, MembershipSettings settings,
+             std::uint32_t random_seed);
 
   /// Sets what every datagram tells about the configuration in force.
   void SetRevision(std::int64_t revision) { m_revision = revision; }
@@ -106,15 +107,15 @@
   MembershipSettings m_settings;
   boost::random::mt19937 m_random;
   std::map<std::string, Member> m_members;
-  std::map<std::string, Instant> m_changed;     ///< Time of the last change of state, by node.
-  std::map<std::string, int> m_news;            ///< Times that news of a node were sent, while they spread.
+  std::map<std::string, Instant> m_changed;  ///< Time of the last change of state, by node.
+  std::map<std::string, int> m_news;         ///< Times that news of a node were sent, while they spread.
   std::vector<std::string> m_candidates;
   std::int64_t m_candidates_version = 0;
   std::vector<std::string> m_probe_order;
   std::size_t m_probe_index = 0;
   std::int64_t m_next_probe = 1;
   Probe m_probe;
-  std::map<std::int64_t, Errand> m_errands;     ///< By own probe number.
+  std::map<std::int64_t, Errand> m_errands;  ///< By own probe number.
   Instant m_next_period{};
   std::int64_t m_periods = 0;
   int m_local_health = 0;  ///< Missed acks of late; a slow node gives others more time.
--- a/fescueramp/net/endpoint_pool.cc
+++ b/fescueramp/net/endpoint_pool.cc
@@ -9,7 +9,8 @@
 
 }  // namespace
 
-std::shared_ptr<EndpointConnection> EndpointPool::Take(const std::string& address, std::uint16_t port, bool fresh) {
+std::shared_ptr<EndpointConnection> EndpointPool::Take(const std::string& address, std::uint16_t port,
+                                                       bool fresh) {
   auto& idle = m_idle[{address, port}];
   const auto now = std::chrono::steady_clock::now();
   while (!idle.empty() && now - idle.front()->m_last_used > kMaxIdleTime) idle.pop_front();
--- a/fescueramp/net/gossip_socket.cc
+++ b/fescueramp/net/gossip_socket.cc
@@ -15,8 +15,8 @@
 
 }  // namespace
 
-GossipSocket::GossipSocket(const asio::any_io_executor& executor, const std::string& address, std::uint16_t port,
-                           std::vector<std::string> keys, Handler handler)
+GossipSocket::GossipSocket(const asio::any_io_executor& executor, const std::string& address,
+                           std::uint16_t port, std::vector<std::string> keys, Handler handler)
     : m_socket(executor, udp::endpoint(asio::ip::make_address(address), port)),
       m_keys(std::move(keys)),
       m_handler(std::move(handler)) {
@@ -39,14 +39,16 @@
   while (true) {
     udp::endpoint sender;
     boost::system::error_code ec;
-    const std::size_t size = co_await m_socket.async_receive_from(asio::buffer(buffer), sender,
-                                                                  asio::redirect_error(asio::use_awaitable, ec));
+    const std::size_t size = co_await m_socket.async_receive_from(
+        asio::buffer(buffer), sender, asio::redirect_error(asio::use_awaitable, ec));
     if (ec == asio::error::operation_aborted || ec == asio::error::bad_descriptor) break;
     if (ec) continue;
     m_bytes_received += static_cast<std::int64_t>(size) + kHeaderBytes;
     auto message = DecodeGossip(std::string_view(buffer).substr(0, size), m_keys);
-    if (message) m_handler(sender.address().to_string(), sender.port(), std::move(*message));
-    else ++m_refused;
+    if (message)
+      m_handler(sender.address().to_string(), sender.port(), std::move(*message));
+    else
+      ++m_refused;
   }
 }
 
--- a/fescueramp/net/gossip_socket.h
+++ b/fescueramp/net/gossip_socket.h
@@ -15,7 +15,8 @@
  public:
   using Handler = std::function<void(const std::string& address, std::int64_t port, GossipMessage message)>;
 
-  /// @param keys The first signs; all are accepted. @throws boost::system::system_error when the port is taken.
+  /// @param keys The first signs; all are accepted. @throws boost::system::system_error when the port is
+  /// taken.
   GossipSocket(const asio::any_io_executor& executor, const std::string& address, std::uint16_t port,
                std::vector<std::string> keys, Handler handler);
 
--- a/fescueramp/net/http_client.cc
+++ b/fescueramp/net/http_client.cc
@@ -48,9 +48,12 @@
     if (m_request.find(http::field::host) == m_request.end()) {
       m_request.set(http::field::host, m_address + ":" + std::to_string(m_port));
     }
-    if (head.m_content_length > 0) m_request.content_length(static_cast<std::uint64_t>(head.m_content_length));
-    else if (head.m_content_length < 0) m_request.chunked(true);
-    else if (head.m_method != "GET" && head.m_method != "HEAD") m_request.content_length(0);
+    if (head.m_content_length > 0)
+      m_request.content_length(static_cast<std::uint64_t>(head.m_content_length));
+    else if (head.m_content_length < 0)
+      m_request.chunked(true);
+    else if (head.m_method != "GET" && head.m_method != "HEAD")
+      m_request.content_length(0);
     m_parser.reset();
     m_sent = false;
     m_timed_out = false;
@@ -100,7 +103,8 @@
   state.m_request.body().more = true;
   state.m_stream.expires_after(timeout);
   beast::error_code ec;
-  co_await http::async_write(state.m_stream, *state.m_serializer, asio::redirect_error(asio::use_awaitable, ec));
+  co_await http::async_write(state.m_stream, *state.m_serializer,
+                             asio::redirect_error(asio::use_awaitable, ec));
   if (ec && ec != http::error::need_buffer) state.Fail("send", ec);
 }
 
@@ -112,7 +116,8 @@
   state.m_request.body().more = false;
   state.m_stream.expires_after(timeout);
   beast::error_code ec;
-  co_await http::async_write(state.m_stream, *state.m_serializer, asio::redirect_error(asio::use_awaitable, ec));
+  co_await http::async_write(state.m_stream, *state.m_serializer,
+                             asio::redirect_error(asio::use_awaitable, ec));
   if (ec && ec != http::error::need_buffer) state.Fail("send", ec);
 }
 
--- a/fescueramp/net/http_client.h
+++ b/fescueramp/net/http_client.h
@@ -52,7 +52,8 @@
   /// Reads the header of the answer; the length is -1 when it is not known. @throws HttpError.
   asio::awaitable<AnswerHead> ReadHead(std::chrono::milliseconds timeout);
 
-  /// Next part of the answer's body; empty at its end. @throws HttpError when it breaks off or is silent too long.
+  /// Next part of the answer's body; empty at its end. @throws HttpError when it breaks off or is silent too
+  /// long.
   asio::awaitable<std::string> ReadBody(std::chrono::milliseconds timeout);
 
   /// Whether the connection can carry another request.
--- a/fescueramp/net/http_server.cc
+++ b/fescueramp/net/http_server.cc
@@ -20,8 +20,8 @@
 
 class BeastExchange final : public HttpExchange, public std::enable_shared_from_this<BeastExchange> {
  public:
-  BeastExchange(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser, std::chrono::seconds timeout,
-                const bool& draining)
+  BeastExchange(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser,
+                std::chrono::seconds timeout, const bool& draining)
       : m_stream(stream), m_buffer(buffer), m_parser(parser), m_timeout(timeout), m_draining(draining) {
     const auto& message = parser.get();
     m_head.m_method = std::string(message.method_string());
@@ -30,8 +30,10 @@
       m_head.m_headers.push_back({std::string(field.name_string()), std::string(field.value())});
     }
     m_head.m_content_length = -1;
-    if (const auto length = parser.content_length()) m_head.m_content_length = static_cast<std::int64_t>(*length);
-    else if (!parser.chunked()) m_head.m_content_length = 0;
+    if (const auto length = parser.content_length())
+      m_head.m_content_length = static_cast<std::int64_t>(*length);
+    else if (!parser.chunked())
+      m_head.m_content_length = 0;
     m_expects_continue = beast::iequals(message[http::field::expect], "100-continue");
     m_keep_alive = message.keep_alive();
   }
@@ -55,7 +57,8 @@
     co_return std::string();
   }
 
-  asio::awaitable<void> Send(std::int64_t status, std::vector<HeaderField> headers, std::string body) override {
+  asio::awaitable<void> Send(std::int64_t status, std::vector<HeaderField> headers,
+                             std::string body) override {
     http::response<http::string_body> response;
     SetHead(response, status, headers);
     response.body() = std::move(body);
@@ -68,8 +71,10 @@
   asio::awaitable<void> Begin(std::int64_t status, std::vector<HeaderField> headers,
                               std::int64_t content_length) override {
     SetHead(m_response, status, headers);
-    if (content_length >= 0) m_response.content_length(static_cast<std::uint64_t>(content_length));
-    else m_response.chunked(true);
+    if (content_length >= 0)
+      m_response.content_length(static_cast<std::uint64_t>(content_length));
+    else
+      m_response.chunked(true);
     m_response.body().data = nullptr;
     m_response.body().more = true;
     m_serializer.emplace(m_response);
@@ -112,8 +117,9 @@
 
  private:
   void Watch() {
-    m_stream.socket().async_wait(tcp::socket::wait_read,
-                                 [self = shared_from_this()](const beast::error_code& ec) { self->CheckClosed(ec); });
+    m_stream.socket().async_wait(
+        tcp::socket::wait_read,
+        [self = shared_from_this()](const beast::error_code& ec) { self->CheckClosed(ec); });
   }
 
   void CheckClosed(const beast::error_code& ec) {
@@ -180,7 +186,8 @@
 
 HttpServer::HttpServer(const asio::any_io_executor& executor, HttpServerSettings settings, Handler handler)
     : m_state(std::make_shared<State>(executor, std::move(settings), std::move(handler))) {
-  const tcp::endpoint endpoint(asio::ip::make_address(m_state->m_settings.m_address), m_state->m_settings.m_port);
+  const tcp::endpoint endpoint(asio::ip::make_address(m_state->m_settings.m_address),
+                               m_state->m_settings.m_port);
   m_state->m_acceptor.open(endpoint.protocol());
   m_state->m_acceptor.set_option(asio::socket_base::reuse_address(true));
   m_state->m_acceptor.bind(endpoint);
@@ -206,7 +213,8 @@
   const auto executor = co_await asio::this_coro::executor;
   while (!state->m_stopping) {
     boost::system::error_code ec;
-    tcp::socket socket = co_await state->m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
+    tcp::socket socket =
+        co_await state->m_acceptor.async_accept(asio::redirect_error(asio::use_awaitable, ec));
     if (ec == asio::error::operation_aborted) break;
     if (ec) {
       // Out of descriptors, most likely: wait for some to come free.
@@ -244,8 +252,8 @@
         co_await http::async_write(stream, response, asio::use_awaitable);
       }
       if (ec) break;
-      const auto exchange =
-          std::make_shared<BeastExchange>(stream, buffer, parser, state->m_settings.m_body_timeout, state->m_draining);
+      const auto exchange = std::make_shared<BeastExchange>(
+          stream, buffer, parser, state->m_settings.m_body_timeout, state->m_draining);
       co_await state->m_handler(exchange);
       exchange->StopWatching();
       more = exchange->MayContinue();
--- a/fescueramp/net/http_server.h
+++ b/fescueramp/net/http_server.h
@@ -23,7 +23,8 @@
   virtual asio::awaitable<std::string> ReadBody() = 0;
 
   /// Sends a whole answer. Allowed before the body has been read; the connection then ends after it.
-  virtual asio::awaitable<void> Send(std::int64_t status, std::vector<HeaderField> headers, std::string body) = 0;
+  virtual asio::awaitable<void> Send(std::int64_t status, std::vector<HeaderField> headers,
+                                     std::string body) = 0;
 
   /// Starts an answer whose body follows; `content_length` is -1 when it is not known.
   virtual asio::awaitable<void> Begin(std::int64_t status, std::vector<HeaderField> headers,
@@ -42,11 +43,12 @@
 /// Bounds of a server.
 struct HttpServerSettings {
   std::string m_address = "127.0.0.1";
-  std::uint16_t m_port = 0;                                  ///< 0 for any free port.
+  std::uint16_t m_port = 0;  ///< 0 for any free port.
   std::size_t m_max_connections = 20000;
-  std::chrono::seconds m_header_timeout{20};                 ///< Longest wait for a whole header.
-  std::chrono::seconds m_body_timeout{20};                   ///< Longest silence within a body or an answer.
-  std::function<std::string(const std::string& problem)> m_malformed_body;  ///< Body of the answer to a malformed request.
+  std::chrono::seconds m_header_timeout{20};  ///< Longest wait for a whole header.
+  std::chrono::seconds m_body_timeout{20};    ///< Longest silence within a body or an answer.
+  std::function<std::string(const std::string& problem)>
+      m_malformed_body;  ///< Body of the answer to a malformed request.
 };
 
 /// HTTP/1.1 server; every request runs `handler` in a coroutine of its own connection.
--- a/fescueramp/net/http_types.cc
+++ b/fescueramp/net/http_types.cc
@@ -7,7 +7,7 @@
 namespace {
 
 constexpr std::array<std::string_view, 11> kStripped = {
-    "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization", "te",  "trailer",
+    "connection", "keep-alive",        "proxy-authenticate", "proxy-authorization", "te",    "trailer",
     "upgrade",    "transfer-encoding", "content-length",     "proxy-connection",    "expect"};
 
 }  // namespace
@@ -28,7 +28,8 @@
 
 bool IsStrippedHeader(std::string_view name) {
   const std::string lower = ToLower(name);
-  return lower.starts_with("fescue-") || std::find(kStripped.begin(), kStripped.end(), lower) != kStripped.end();
+  return lower.starts_with("fescue-") ||
+         std::find(kStripped.begin(), kStripped.end(), lower) != kStripped.end();
 }
 
 }  // namespace fescueramp
--- a/fescueramp/net/http_types.h
+++ b/fescueramp/net/http_types.h
@@ -28,14 +28,15 @@
 struct AnswerHead {
   std::int64_t m_status = 0;
   std::vector<HeaderField> m_headers;
-  std::int64_t m_content_length = -1;    ///< -1 when it is not known.
-  std::int64_t m_code = 0;               ///< Number of a ResultCode.
+  std::int64_t m_content_length = -1;  ///< -1 when it is not known.
+  std::int64_t m_code = 0;             ///< Number of a ResultCode.
   std::int64_t m_retry_after_ms = 0;
-  std::int64_t m_recorded_status = 0;    ///< For ALREADY_RUN: the status the work ended with.
-  std::string m_record;                  ///< Decision record as JSON.
+  std::int64_t m_recorded_status = 0;  ///< For ALREADY_RUN: the status the work ended with.
+  std::string m_record;                ///< Decision record as JSON.
 };
 BOOST_DESCRIBE_STRUCT(AnswerHead, (),
-                      (m_status, m_headers, m_content_length, m_code, m_retry_after_ms, m_recorded_status, m_record))
+                      (m_status, m_headers, m_content_length, m_code, m_retry_after_ms, m_recorded_status,
+                       m_record))
 
 /// Value of the first field with this lower-case name, or an empty text.
 std::string_view FindHeader(const std::vector<HeaderField>& headers, std::string_view lower_case_name);
--- a/fescueramp/net/link.cc
+++ b/fescueramp/net/link.cc
@@ -9,12 +9,12 @@
 namespace fescueramp {
 namespace {
 
-constexpr std::uint32_t kStreamWindow = 256 * 1024;             ///< Bytes.
-constexpr std::int32_t kLinkWindow = 64 * 1024 * 1024;          ///< Bytes.
+constexpr std::uint32_t kStreamWindow = 256 * 1024;     ///< Bytes.
+constexpr std::int32_t kLinkWindow = 64 * 1024 * 1024;  ///< Bytes.
 constexpr std::uint32_t kMaxStreams = 100'000;
-constexpr std::size_t kMaxUnsent = 256 * 1024;                  ///< Bytes of one stream kept for sending.
-constexpr std::size_t kWriteChunk = 128 * 1024;                 ///< Bytes of one write.
-constexpr std::size_t kReadChunk = 64 * 1024;                   ///< Bytes of one read.
+constexpr std::size_t kMaxUnsent = 256 * 1024;   ///< Bytes of one stream kept for sending.
+constexpr std::size_t kWriteChunk = 128 * 1024;  ///< Bytes of one write.
+constexpr std::size_t kReadChunk = 64 * 1024;    ///< Bytes of one read.
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
 constexpr auto kWatchPeriod = std::chrono::milliseconds(200);   ///< Time between looks at a busy link.
 constexpr auto kPingAfter = std::chrono::milliseconds(300);     ///< Silence after which the peer is pinged.
@@ -119,8 +119,10 @@
   nghttp2_option_new(&option);
   nghttp2_option_set_no_auto_window_update(option, 1);
   nghttp2_option_set_peer_max_concurrent_streams(option, kMaxStreams);
-  if (m_is_server) nghttp2_session_server_new2(&m_session, callbacks, this, option);
-  else nghttp2_session_client_new2(&m_session, callbacks, this, option);
+  if (m_is_server)
+    nghttp2_session_server_new2(&m_session, callbacks, this, option);
+  else
+    nghttp2_session_client_new2(&m_session, callbacks, this, option);
   nghttp2_option_del(option);
   nghttp2_session_callbacks_del(callbacks);
   const nghttp2_settings_entry settings[] = {{NGHTTP2_SETTINGS_INITIAL_WINDOW_SIZE, kStreamWindow},
@@ -146,8 +148,8 @@
   std::vector<std::uint8_t> buffer(kReadChunk);
   while (!m_closed) {
     boost::system::error_code ec;
-    const std::size_t size =
-        co_await m_socket.async_read_some(asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
+    const std::size_t size = co_await m_socket.async_read_some(asio::buffer(buffer),
+                                                               asio::redirect_error(asio::use_awaitable, ec));
     if (ec || m_closed) break;
     m_last_heard = std::chrono::steady_clock::now();
     if (nghttp2_session_mem_recv(m_session, buffer.data(), size) < 0) break;
@@ -223,7 +225,8 @@
 std::shared_ptr<LinkStream> Link::Open(const std::string& path, const std::vector<HeaderField>& headers,
                                        bool with_body) {
   if (m_closed) throw LinkError("link is closed");
-  std::vector<HeaderField> all = {{":method", "POST"}, {":scheme", "http"}, {":authority", "fescueramp"}, {":path", path}};
+  std::vector<HeaderField> all = {
+      {":method", "POST"}, {":scheme", "http"}, {":authority", "fescueramp"}, {":path", path}};
   all.insert(all.end(), headers.begin(), headers.end());
   const auto fields = MakeFields(all);
   auto stream = std::make_shared<LinkStream>(*this, m_socket.get_executor());
@@ -259,8 +262,9 @@
   return 0;
 }
 
-int Link::OnHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name, std::size_t name_size,
-                   const std::uint8_t* value, std::size_t value_size, std::uint8_t, void* self) {
+int Link::OnHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
+                   std::size_t name_size, const std::uint8_t* value, std::size_t value_size, std::uint8_t,
+                   void* self) {
   if (auto* stream = static_cast<Link*>(self)->Find(frame->hd.stream_id)) {
     stream->m_headers.push_back({std::string(reinterpret_cast<const char*>(name), name_size),
                                  std::string(reinterpret_cast<const char*>(value), value_size)});
@@ -281,8 +285,8 @@
   return 0;
 }
 
-int Link::OnData(nghttp2_session* session, std::uint8_t, std::int32_t id, const std::uint8_t* data, std::size_t size,
-                 void* self) {
+int Link::OnData(nghttp2_session* session, std::uint8_t, std::int32_t id, const std::uint8_t* data,
+                 std::size_t size, void* self) {
   // The window of the link is opened at once, so that one unread stream holds up no other.
   nghttp2_session_consume_connection(session, size);
   if (auto* stream = static_cast<Link*>(self)->Find(id)) {
--- a/fescueramp/net/link.h
+++ b/fescueramp/net/link.h
@@ -95,7 +95,8 @@
   void Start();
 
   /// Opens a stream; `with_body` says whether data follows. @throws LinkError when the link is closed.
-  std::shared_ptr<LinkStream> Open(const std::string& path, const std::vector<HeaderField>& headers, bool with_body);
+  std::shared_ptr<LinkStream> Open(const std::string& path, const std::vector<HeaderField>& headers,
+                                   bool with_body);
 
   /// Ends the connection and breaks its streams.
   void Close();
@@ -113,8 +114,9 @@
   nghttp2_data_provider Provider();
 
   static int OnBeginHeaders(nghttp2_session*, const nghttp2_frame* frame, void* self);
-  static int OnHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name, std::size_t name_size,
-                      const std::uint8_t* value, std::size_t value_size, std::uint8_t, void* self);
+  static int OnHeader(nghttp2_session*, const nghttp2_frame* frame, const std::uint8_t* name,
+                      std::size_t name_size, const std::uint8_t* value, std::size_t value_size, std::uint8_t,
+                      void* self);
   static int OnFrame(nghttp2_session*, const nghttp2_frame* frame, void* self);
   static int OnData(nghttp2_session* session, std::uint8_t, std::int32_t id, const std::uint8_t* data,
                     std::size_t size, void* self);
--- a/fescueramp/node/effects.h
+++ b/fescueramp/node/effects.h
@@ -75,9 +75,10 @@
 };
 BOOST_DESCRIBE_STRUCT(ShutdownComplete, (), ())
 
-using Effect = std::variant<ForwardRequest, RefuseRequest, RelayRequest, StartAttempt, FinishRequest, DeliverAnswer,
-                            CancelAttempt, ReportHealth, SendGossip, ReportMember, StoreGet, StorePut, StoreDelete,
-                            FetchConfiguration, ReportConfiguration, SetWatching, ShutdownComplete>;
+using Effect =
+    std::variant<ForwardRequest, RefuseRequest, RelayRequest, StartAttempt, FinishRequest, DeliverAnswer,
+                 CancelAttempt, ReportHealth, SendGossip, ReportMember, StoreGet, StorePut, StoreDelete,
+                 FetchConfiguration, ReportConfiguration, SetWatching, ShutdownComplete>;
 using Effects = std::vector<Effect>;
 
 }  // namespace fescueramp
--- a/fescueramp/node/entry_desk.cc
+++ b/fescueramp/node/entry_desk.cc
@@ -32,28 +32,38 @@
   return ResultCode::kOk;
 }
 
-void EntryDesk::Receive(const RequestReceived& event, const std::shared_ptr<const RouteTable>& table, Instant now,
-                        Effects& out) {
+void EntryDesk::Receive(const RequestReceived& event, const std::shared_ptr<const RouteTable>& table,
+                        Instant now, Effects& out) {
   const std::string& id = event.m_request_id;
   if (!table) return Refuse(id, ResultCode::kNotReady, kRetrySoon, out);
   const auto match = table->FindRoute(event.m_method, event.m_path);
   if (!match.m_route) return Refuse(id, ResultCode::kNoRoute, Duration(0), out);
   const Route& route = *match.m_route;
   const std::string* account = table->FindAccount(event.m_key_sha256);
-  if (!account && !event.m_key_sha256.empty()) return Refuse(id, ResultCode::kUnknownAccount, Duration(0), out);
+  if (!account && !event.m_key_sha256.empty())
+    return Refuse(id, ResultCode::kUnknownAccount, Duration(0), out);
   const std::size_t key_size = event.m_idempotency_key.size();
   if (!route.m_repeatable && (key_size == 0 || key_size > kMaxIdempotencyKey)) {
     return Refuse(id, ResultCode::kMissingIdempotencyKey, Duration(0), out);
   }
-  if (event.m_body_bytes > route.m_max_body_bytes) return Refuse(id, ResultCode::kBodyTooLarge, Duration(0), out);
+  if (event.m_body_bytes > route.m_max_body_bytes)
+    return Refuse(id, ResultCode::kBodyTooLarge, Duration(0), out);
   const std::string name = account ? *account : std::string();
   Duration retry_after{};
   if (const ResultCode code = CheckLimits(name, table->Set(), now, retry_after); code != ResultCode::kOk) {
     return Refuse(id, code, retry_after, out);
   }
   OpenRequest open;
-  open.m_request = {id, m_membership.Self().m_node, route.m_service, match.m_name, route.m_priority, name,
-                    route.m_repeatable, 0, 0, now + std::chrono::milliseconds(route.m_deadline_ms)};
+  open.m_request = {id,
+                    m_membership.Self().m_node,
+                    route.m_service,
+                    match.m_name,
+                    route.m_priority,
+                    name,
+                    route.m_repeatable,
+                    0,
+                    0,
+                    now + std::chrono::milliseconds(route.m_deadline_ms)};
   if (!route.m_repeatable) {
     open.m_request.m_claim_key = Hash64(route.m_service + "\n" + name + "\n" + event.m_idempotency_key);
   }
@@ -80,12 +90,13 @@
   // Each forward has an id of its own, so that a late answer to an earlier one can't be taken for it.
   DispatchRequest request = open.m_request;
   if (open.m_forwards > 1) request.m_request_id += "." + std::to_string(open.m_forwards);
-  out.emplace_back(ForwardRequest{request_id, node, member->second.m_address, member->second.m_link_port, open.m_group,
-                                  open.m_max_body_bytes, std::move(request)});
+  out.emplace_back(ForwardRequest{request_id, node, member->second.m_address, member->second.m_link_port,
+                                  open.m_group, open.m_max_body_bytes, std::move(request)});
 }
 
 ResultCode EntryDesk::CodeWithoutAnswer(const OpenRequest& open, Instant now) const {
-  if (!open.m_maybe_ran) return open.m_request.m_repeatable ? ResultCode::kNotRun : ResultCode::kAttemptNotRun;
+  if (!open.m_maybe_ran)
+    return open.m_request.m_repeatable ? ResultCode::kNotRun : ResultCode::kAttemptNotRun;
   if (!open.m_request.m_repeatable) return ResultCode::kOutcomeUnknown;
   return now >= open.m_request.m_deadline ? ResultCode::kDeadlineExceeded : ResultCode::kAnswerIncomplete;
 }
--- a/fescueramp/node/entry_desk.h
+++ b/fescueramp/node/entry_desk.h
@@ -17,10 +17,12 @@
 /// matches route, account and limits, passes them to a dispatcher, and to the next one when that dies.
 class EntryDesk {
  public:
-  EntryDesk(const Membership& membership, Ownership& ownership) : m_membership(membership), m_ownership(ownership) {}
+  EntryDesk(const Membership& membership, Ownership& ownership)
+      : m_membership(membership), m_ownership(ownership) {}
 
   /// Takes a request in; without a configuration it is refused.
-  void Receive(const RequestReceived& event, const std::shared_ptr<const RouteTable>& table, Instant now, Effects& out);
+  void Receive(const RequestReceived& event, const std::shared_ptr<const RouteTable>& table, Instant now,
+               Effects& out);
 
   /// Takes the end of a forward and tries the next dispatcher when that is safe.
   void EndForward(const ForwardEnded& event, Instant now, Effects& out);
@@ -41,7 +43,8 @@
     std::int64_t m_open = 0;
   };
 
-  ResultCode CheckLimits(const std::string& account, const ObjectSet& set, Instant now, Duration& retry_after);
+  ResultCode CheckLimits(const std::string& account, const ObjectSet& set, Instant now,
+                         Duration& retry_after);
   void Forward(const std::string& request_id, Instant now, Effects& out);
   void Refuse(const std::string& request_id, ResultCode code, Duration retry_after, Effects& out);
   void Close(const std::string& request_id);
--- a/fescueramp/node/events.h
+++ b/fescueramp/node/events.h
@@ -124,8 +124,8 @@
 };
 BOOST_DESCRIBE_STRUCT(ShutdownRequested, (), ())
 
-using Event = std::variant<Tick, RequestReceived, ForwardEnded, DispatchArrived, DispatchCancelled, RelayFailed,
-                           AttemptEnded, GossipReceived, StoreAnswered, ConfigurationLoaded, ConfigurationFailed,
-                           HostsListed, ShutdownRequested>;
+using Event = std::variant<Tick, RequestReceived, ForwardEnded, DispatchArrived, DispatchCancelled,
+                           RelayFailed, AttemptEnded, GossipReceived, StoreAnswered, ConfigurationLoaded,
+                           ConfigurationFailed, HostsListed, ShutdownRequested>;
 
 }  // namespace fescueramp
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -10,14 +10,16 @@
 namespace fescueramp {
 namespace {
 
-constexpr Duration kFetchTime = std::chrono::seconds(2);  ///< After this a fetch without a result is tried again.
+constexpr Duration kFetchTime =
+    std::chrono::seconds(2);  ///< After this a fetch without a result is tried again.
 constexpr std::int64_t kMaxHops = 1;
 
 }  // namespace
 
 NodeReducer::NodeReducer(NodeSettings settings)
     : m_settings(std::move(settings)),
-      m_membership(m_settings.m_self, m_settings.m_seeds, {}, static_cast<std::uint32_t>(m_settings.m_random_seed)),
+      m_membership(m_settings.m_self, m_settings.m_seeds, {},
+                   static_cast<std::uint32_t>(m_settings.m_random_seed)),
       m_ownership(m_membership, m_settings.m_claim_groups, m_settings.m_policy == PolicyKind::kBaseline),
       m_entry(m_membership, m_ownership) {}
 
@@ -39,7 +41,9 @@
   UpdateWatching();
 }
 
-void NodeReducer::On(const RequestReceived& event, Instant now) { m_entry.Receive(event, m_table, now, m_effects); }
+void NodeReducer::On(const RequestReceived& event, Instant now) {
+  m_entry.Receive(event, m_table, now, m_effects);
+}
 
 void NodeReducer::On(const ForwardEnded& event, Instant now) { m_entry.EndForward(event, now, m_effects); }
 
@@ -78,13 +82,15 @@
   Run(std::move(out), now);
 }
 
-void NodeReducer::FinishAtDispatcher(const std::string& request_id, ResultCode code, std::int64_t recorded_status) {
+void NodeReducer::FinishAtDispatcher(const std::string& request_id, ResultCode code,
+                                     std::int64_t recorded_status) {
   DecisionRecord record;
   record.m_request_id = request_id;
   record.m_dispatcher = m_settings.m_self.m_node;
   record.m_revision = Revision();
   record.m_outcome = Info(code).m_name;
-  m_effects.emplace_back(FinishRequest{request_id, static_cast<std::int64_t>(code), 0, recorded_status, record});
+  m_effects.emplace_back(
+      FinishRequest{request_id, static_cast<std::int64_t>(code), 0, recorded_status, record});
 }
 
 Dispatcher* NodeReducer::DispatcherOf(const std::string& service, Instant now) {
@@ -100,7 +106,8 @@
     }
     DispatchEffects out;
     dispatcher->Configure(m_table, out, now);
-    for (const auto& endpoint : m_membership.LeavingEndpoints()) dispatcher->SetLeaving(endpoint, true, now, out);
+    for (const auto& endpoint : m_membership.LeavingEndpoints())
+      dispatcher->SetLeaving(endpoint, true, now, out);
   }
   return dispatcher.get();
 }
@@ -118,7 +125,8 @@
 
 void NodeReducer::On(const DispatchCancelled& event, Instant now) {
   m_relayed.erase(event.m_request_id);
-  if (const auto claim = m_claims.find(event.m_request_id); claim != m_claims.end() && !claim->second.m_granted) {
+  if (const auto claim = m_claims.find(event.m_request_id);
+      claim != m_claims.end() && !claim->second.m_granted) {
     claim->second.m_cancelled = true;
     return;
   }
@@ -209,7 +217,8 @@
     m_membership.AnnounceNow(now);
   }
   const auto sender = m_membership.Members().find(message.m_from);
-  if (message.m_revision <= Revision() || now < m_fetch_until || sender == m_membership.Members().end()) return;
+  if (message.m_revision <= Revision() || now < m_fetch_until || sender == m_membership.Members().end())
+    return;
   m_fetch_until = now + kFetchTime;
   m_effects.emplace_back(
       FetchConfiguration{message.m_from, sender->second.m_address, sender->second.m_link_port});
@@ -284,8 +293,9 @@
 
 void NodeReducer::CheckShutdown(Instant now) {
   if (!m_leaving || m_shutdown_reported) return;
-  const bool idle = m_entry.Empty() && m_service_of.empty() && m_claims.empty() &&
-                    std::all_of(m_keepers.begin(), m_keepers.end(), [](const auto& k) { return k.second->Idle(); });
+  const bool idle =
+      m_entry.Empty() && m_service_of.empty() && m_claims.empty() &&
+      std::all_of(m_keepers.begin(), m_keepers.end(), [](const auto& k) { return k.second->Idle(); });
   if (!idle) return;
   m_shutdown_reported = true;
   m_membership.Leave(MemberState::kLeft, now);
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -33,13 +33,14 @@
   Member m_self;
   std::vector<SeedAddress> m_seeds;
   PolicyKind m_policy = PolicyKind::kFair;
-  std::int64_t m_claim_groups = 64;     ///< Groups of services that share a claim log and a dispatcher.
-  std::int64_t m_watchers = 3;          ///< Nodes per region that watch the store.
+  std::int64_t m_claim_groups = 64;  ///< Groups of services that share a claim log and a dispatcher.
+  std::int64_t m_watchers = 3;       ///< Nodes per region that watch the store.
   std::int64_t m_random_seed = 1;
   std::int64_t m_claim_window_s = 86400;  ///< Time for which idempotency keys are remembered, seconds.
 };
 BOOST_DESCRIBE_STRUCT(NodeSettings, (),
-                      (m_self, m_seeds, m_policy, m_claim_groups, m_watchers, m_random_seed, m_claim_window_s))
+                      (m_self, m_seeds, m_policy, m_claim_groups, m_watchers, m_random_seed,
+                       m_claim_window_s))
 
 /// All decisions of one node: one reducer over all events, with effects as data.
 /// Deterministic: the same settings and events give the same effects.
@@ -63,8 +64,8 @@
   struct HeldClaim {
     DispatchRequest m_request;
     bool m_granted = false;
-    bool m_cancelled = false;    ///< Whether the caller left while the claim was being written.
-    std::int64_t m_status = 0;   ///< HTTP status of the last answer; 0 when there is none.
+    bool m_cancelled = false;   ///< Whether the caller left while the claim was being written.
+    std::int64_t m_status = 0;  ///< HTTP status of the last answer; 0 when there is none.
   };
 
   void On(const Tick& event, Instant now);
@@ -100,9 +101,9 @@
   std::shared_ptr<const RouteTable> m_table;
   std::map<std::string, std::unique_ptr<Dispatcher>> m_dispatchers;
   std::map<std::string, std::unique_ptr<ClaimKeeper>> m_keepers;
-  std::map<std::string, HeldClaim> m_claims;                 ///< By request id.
+  std::map<std::string, HeldClaim> m_claims;                  ///< By request id.
   std::unordered_map<std::string, std::string> m_service_of;  ///< Service of requests at a dispatcher.
-  std::map<std::string, DispatchRequest> m_relayed;          ///< Requests passed on to their owner.
+  std::map<std::string, DispatchRequest> m_relayed;           ///< Requests passed on to their owner.
   std::int64_t m_store_operations = 0;
   bool m_watching = false;
   std::int64_t m_watchers_version = -1;  ///< Version of the members that the watchers were chosen from.
--- a/fescueramp/node/ownership.h
+++ b/fescueramp/node/ownership.h
@@ -40,7 +40,8 @@
   bool m_alone;
   std::map<std::string, Instant> m_unreachable;
   mutable std::int64_t m_version = -1;
-  mutable std::map<std::string, std::vector<std::string>> m_orders;  ///< By group, for one version of the members.
+  mutable std::map<std::string, std::vector<std::string>>
+      m_orders;  ///< By group, for one version of the members.
 };
 
 }  // namespace fescueramp
--- a/fescueramp/node/trace.cc
+++ b/fescueramp/node/trace.cc
@@ -18,7 +18,8 @@
 }
 
 void TraceWriter::Write(const Event& event, Instant now, const Effects& effects) {
-  const json::object line{{"now", ToJson(now)}, {"event", VariantToJson(event)}, {"effects", EffectsToJson(effects)}};
+  const json::object line{
+      {"now", ToJson(now)}, {"event", VariantToJson(event)}, {"effects", EffectsToJson(effects)}};
   m_out << json::serialize(line) << '\n';
 }
 
--- a/fescueramp/node/trace.h
+++ b/fescueramp/node/trace.h
@@ -26,8 +26,8 @@
 struct TraceDifference {
   std::int64_t m_line = 0;  ///< Line of the event in the trace, from 1.
   std::string m_event;
-  std::string m_recorded;   ///< Effects in the trace.
-  std::string m_replayed;   ///< Effects of this version.
+  std::string m_recorded;  ///< Effects in the trace.
+  std::string m_replayed;  ///< Effects of this version.
 };
 
 /// Runs a trace through the reducer and returns the first `max_differences` changed effects.
--- a/fescueramp/platform/store_client.cc
+++ b/fescueramp/platform/store_client.cc
@@ -46,9 +46,12 @@
     connection = std::make_unique<HttpConnection>(m_executor, m_settings.m_address,
                                                   static_cast<std::uint16_t>(m_settings.m_port));
   }
+  RequestHead head;
+  head.m_method = std::move(method);
+  head.m_target = std::move(target);
   HttpAnswer answer;
   try {
-    answer = co_await connection->Request({std::move(method), std::move(target), {}, 0}, std::move(body), timeout);
+    answer = co_await connection->Request(std::move(head), std::move(body), timeout);
     m_available = answer.m_status != 503;
     if (connection->Reusable() && m_idle.size() < kMaxIdle) m_idle.push_back(std::move(connection));
   } catch (const HttpError&) {
@@ -59,8 +62,8 @@
 }
 
 asio::awaitable<StoreAnswered> StoreClient::Get(StoreGet request) {
-  const HttpAnswer answer = co_await Call("GET", "/kv/" + request.m_key, {},
-                                          std::chrono::milliseconds(m_settings.m_timeout_ms));
+  const HttpAnswer answer =
+      co_await Call("GET", "/kv/" + request.m_key, {}, std::chrono::milliseconds(m_settings.m_timeout_ms));
   co_return ToAnswer(request.m_operation, answer);
 }
 
@@ -72,21 +75,22 @@
 }
 
 asio::awaitable<StoreAnswered> StoreClient::Delete(StoreDelete request) {
-  const HttpAnswer answer = co_await Call("DELETE", "/kv/" + request.m_key, {},
-                                          std::chrono::milliseconds(m_settings.m_timeout_ms));
+  const HttpAnswer answer =
+      co_await Call("DELETE", "/kv/" + request.m_key, {}, std::chrono::milliseconds(m_settings.m_timeout_ms));
   co_return ToAnswer(request.m_operation, answer);
 }
 
 asio::awaitable<StoreAnswered> StoreClient::Watch(std::string key, std::int64_t after) {
-  const std::string target = "/kv/" + key + "?after=" + std::to_string(after) +
-                             "&wait_ms=" + std::to_string(m_settings.m_watch_ms);
-  const HttpAnswer answer =
-      co_await Call("GET", target, {}, std::chrono::milliseconds(m_settings.m_watch_ms + m_settings.m_timeout_ms));
+  const std::string target =
+      "/kv/" + key + "?after=" + std::to_string(after) + "&wait_ms=" + std::to_string(m_settings.m_watch_ms);
+  const HttpAnswer answer = co_await Call(
+      "GET", target, {}, std::chrono::milliseconds(m_settings.m_watch_ms + m_settings.m_timeout_ms));
   co_return ToAnswer(0, answer);
 }
 
 asio::awaitable<HostList> StoreClient::Hosts() {
-  const HttpAnswer answer = co_await Call("GET", "/hosts", {}, std::chrono::milliseconds(m_settings.m_timeout_ms));
+  const HttpAnswer answer =
+      co_await Call("GET", "/hosts", {}, std::chrono::milliseconds(m_settings.m_timeout_ms));
   HostList list;
   if (answer.m_status != 200) co_return list;
   try {
--- a/fescueramp/platform/store_client.h
+++ b/fescueramp/platform/store_client.h
@@ -15,8 +15,8 @@
 struct PlatformSettings {
   std::string m_address = "127.0.0.1";
   std::int64_t m_port = 0;
-  std::int64_t m_timeout_ms = 500;       ///< Longest wait for one answer, ms.
-  std::int64_t m_watch_ms = 20000;       ///< Longest time one watch waits, ms.
+  std::int64_t m_timeout_ms = 500;  ///< Longest wait for one answer, ms.
+  std::int64_t m_watch_ms = 20000;  ///< Longest time one watch waits, ms.
 };
 BOOST_DESCRIBE_STRUCT(PlatformSettings, (), (m_address, m_port, m_timeout_ms, m_watch_ms))
 
--- a/fescueramp/routing/route_table.cc
+++ b/fescueramp/routing/route_table.cc
@@ -5,7 +5,8 @@
 namespace fescueramp {
 
 RouteTable::RouteTable(std::int64_t revision, ObjectSet set) : m_revision(revision), m_set(std::move(set)) {
-  for (const auto& [name, route] : m_set.m_routes) m_routes[route.m_method + " " + route.m_path_prefix] = name;
+  for (const auto& [name, route] : m_set.m_routes)
+    m_routes[route.m_method + " " + route.m_path_prefix] = name;
   for (const auto& [name, account] : m_set.m_accounts) m_accounts[account.m_key_sha256] = name;
 }
 
--- a/fescueramp/routing/token_bucket.h
+++ b/fescueramp/routing/token_bucket.h
@@ -19,13 +19,16 @@
 
   /// Time until the next token, given the rate.
   Duration UntilNext(double rate_per_second) const {
-    return rate_per_second <= 0 ? Duration::max() : FromSeconds(std::max(0.0, 1 - m_tokens) / rate_per_second);
+    return rate_per_second <= 0 ? Duration::max()
+                                : FromSeconds(std::max(0.0, 1 - m_tokens) / rate_per_second);
   }
 
  private:
   void Refill(Instant now, double rate_per_second, double burst) {
-    if (m_updated == Instant{}) m_tokens = burst;
-    else m_tokens = std::min(burst, m_tokens + ToSeconds(now - m_updated) * rate_per_second);
+    if (m_updated == Instant{})
+      m_tokens = burst;
+    else
+      m_tokens = std::min(burst, m_tokens + ToSeconds(now - m_updated) * rate_per_second);
     m_updated = now;
   }
 
--- /dev/null
+++ b/scripts/test.sh
@@ -0,0 +1,8 @@
+#!/usr/bin/env bash
+# All tests: build, formatter, linter, unit tests and golden replays.
+set -euo pipefail
+cd "$(dirname "$0")/.."
+scripts/build.sh
+build_tools/lint.sh
+[ -s KNOWN-RED.txt ] && { echo "known red:"; cat KNOWN-RED.txt; }
+ctest --test-dir build --output-on-failure
--- a/stand_ins/endpoint_main.cc
+++ b/stand_ins/endpoint_main.cc
@@ -16,18 +16,18 @@
 
 /// How one endpoint misbehaves.
 struct EndpointFaults {
-  double m_error_rate = 0;          ///< Share of real work that fails; health checks pass.
-  double m_slow_factor = 1;         ///< Multiple of the service time.
-  std::int64_t m_flap_ms = 0;       ///< Period in which the faults are on for one half; 0 for always on.
-  std::string m_crash_on;           ///< Part of a target whose work makes the endpoint crash.
+  double m_error_rate = 0;           ///< Share of real work that fails; health checks pass.
+  double m_slow_factor = 1;          ///< Multiple of the service time.
+  std::int64_t m_flap_ms = 0;        ///< Period in which the faults are on for one half; 0 for always on.
+  std::string m_crash_on;            ///< Part of a target whose work makes the endpoint crash.
   std::int64_t m_restart_ms = 3000;  ///< Time from a crash until it listens again, ms.
   bool m_draining = false;
-  double m_shed_rate = 0;           ///< Share of work refused without running.
-  bool m_hang = false;              ///< Real work never ends; health checks pass.
+  double m_shed_rate = 0;  ///< Share of work refused without running.
+  bool m_hang = false;     ///< Real work never ends; health checks pass.
 };
 BOOST_DESCRIBE_STRUCT(EndpointFaults, (),
-                      (m_error_rate, m_slow_factor, m_flap_ms, m_crash_on, m_restart_ms, m_draining, m_shed_rate,
-                       m_hang))
+                      (m_error_rate, m_slow_factor, m_flap_ms, m_crash_on, m_restart_ms, m_draining,
+                       m_shed_rate, m_hang))
 
 /// Log of everything that ran, the oracle of the tests. Written through at once.
 class RunLog {
@@ -36,15 +36,14 @@
 
   void Write(const std::string& what, std::size_t endpoint, const RequestHead& head, std::int64_t status) {
     const auto now = std::chrono::system_clock::now().time_since_epoch();
-    const json::object line{
-        {"t_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now).count()},
-        {"what", what},
-        {"endpoint", endpoint},
-        {"request_id", FindHeader(head.m_headers, "fescue-request-id")},
-        {"key", FindHeader(head.m_headers, "idempotency-key")},
-        {"method", head.m_method},
-        {"target", head.m_target},
-        {"status", status}};
+    const json::object line{{"t_ms", std::chrono::duration_cast<std::chrono::milliseconds>(now).count()},
+                            {"what", what},
+                            {"endpoint", endpoint},
+                            {"request_id", FindHeader(head.m_headers, "fescue-request-id")},
+                            {"key", FindHeader(head.m_headers, "idempotency-key")},
+                            {"method", head.m_method},
+                            {"target", head.m_target},
+                            {"status", status}};
     m_file << json::serialize(line) << std::endl;
   }
 
@@ -57,7 +56,14 @@
  public:
   EndpointStandIn(asio::io_context& io, std::size_t index, const std::string& address, std::uint16_t port,
                   std::int64_t slots, std::chrono::milliseconds delay, RunLog* log, std::uint32_t seed)
-      : m_io(io), m_index(index), m_address(address), m_port(port), m_slots(slots), m_delay(delay), m_log(log), m_random(seed) {
+      : m_io(io),
+        m_index(index),
+        m_address(address),
+        m_port(port),
+        m_slots(slots),
+        m_delay(delay),
+        m_log(log),
+        m_random(seed) {
     Listen();
   }
 
@@ -73,9 +79,9 @@
     settings.m_port = m_port;
     settings.m_header_timeout = std::chrono::seconds(600);
     settings.m_body_timeout = std::chrono::seconds(120);
-    m_server = std::make_unique<HttpServer>(m_io.get_executor(), settings, [this](std::shared_ptr<HttpExchange> exchange) {
-      return Handle(std::move(exchange));
-    });
+    m_server = std::make_unique<HttpServer>(
+        m_io.get_executor(), settings,
+        [this](std::shared_ptr<HttpExchange> exchange) { return Handle(std::move(exchange)); });
   }
 
   /// Whether the faults are on in this half of the period.
@@ -94,7 +100,8 @@
     const std::int64_t life = m_life;
     m_open.push_back(exchange);
     std::string body;
-    for (std::string part = co_await exchange->ReadBody(); !part.empty(); part = co_await exchange->ReadBody()) {
+    for (std::string part = co_await exchange->ReadBody(); !part.empty();
+         part = co_await exchange->ReadBody()) {
       body += part;
     }
     if (exchange->Head().m_target == "/health") {
@@ -147,7 +154,8 @@
     const bool on = FaultsOn();
     const std::string work_ms(FindHeader(head.m_headers, "work-ms"));
     const double factor = on ? m_faults.m_slow_factor : 1;
-    const auto work = std::chrono::microseconds(static_cast<std::int64_t>(std::atof(work_ms.c_str()) * 1000 * factor));
+    const auto work =
+        std::chrono::microseconds(static_cast<std::int64_t>(std::atof(work_ms.c_str()) * 1000 * factor));
     bool cancelled = false;
     const auto left = std::make_shared<Signal>(m_io.get_executor());
     exchange->WatchForClose([&cancelled, left] {
@@ -235,21 +243,23 @@
   HttpServerSettings control;
   control.m_address = options.m_address;
   control.m_port = options.m_control_port;
-  const HttpServer control_server(
-      io.get_executor(), control, [&](std::shared_ptr<HttpExchange> exchange) -> asio::awaitable<void> {
-        std::string body;
-        for (std::string part = co_await exchange->ReadBody(); !part.empty(); part = co_await exchange->ReadBody()) {
-          body += part;
-        }
-        const json::value order = ParseJson(body);
-        const auto index = FromJson<std::int64_t>(order.at("endpoint"));
-        const auto faults = FromJson<EndpointFaults>(order.at("faults"));
-        for (std::size_t i = 0; i < endpoints.size(); ++i) {
-          if (index < 0 || static_cast<std::size_t>(index) == i) endpoints[i]->SetFaults(faults);
-        }
-        std::vector<HeaderField> none;
-        co_await exchange->Send(200, std::move(none), "done\n");
-      });
+  const HttpServer control_server(io.get_executor(), control,
+                                  [&](std::shared_ptr<HttpExchange> exchange) -> asio::awaitable<void> {
+                                    std::string body;
+                                    for (std::string part = co_await exchange->ReadBody(); !part.empty();
+                                         part = co_await exchange->ReadBody()) {
+                                      body += part;
+                                    }
+                                    const json::value order = ParseJson(body);
+                                    const auto index = FromJson<std::int64_t>(order.at("endpoint"));
+                                    const auto faults = FromJson<EndpointFaults>(order.at("faults"));
+                                    for (std::size_t i = 0; i < endpoints.size(); ++i) {
+                                      if (index < 0 || static_cast<std::size_t>(index) == i)
+                                        endpoints[i]->SetFaults(faults);
+                                    }
+                                    std::vector<HeaderField> none;
+                                    co_await exchange->Send(200, std::move(none), "done\n");
+                                  });
   asio::signal_set signals(io, SIGTERM, SIGINT);
   signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
   io.run();
--- a/stand_ins/load_main.cc
+++ b/stand_ins/load_main.cc
@@ -31,19 +31,19 @@
 struct StreamPlan {
   std::string m_name;
   std::string m_method = "GET";
-  std::string m_target = "/";       ///< "{n}" stands for the number of the request.
+  std::string m_target = "/";  ///< "{n}" stands for the number of the request.
   std::string m_api_key;
   std::vector<Phase> m_phases;
-  double m_work_ms = 10;            ///< Mean service time, ms.
+  double m_work_ms = 10;  ///< Mean service time, ms.
   std::string m_work_shape = "constant";
   std::int64_t m_body_bytes = 0;
-  bool m_keyed = false;             ///< Whether each request has an idempotency key of its own.
-  std::int64_t m_resends = 0;       ///< Times a request is sent again with its key after a lost or unknown answer.
+  bool m_keyed = false;        ///< Whether each request has an idempotency key of its own.
+  std::int64_t m_resends = 0;  ///< Times a request is sent again with its key after a lost or unknown answer.
   std::int64_t m_timeout_ms = 30000;
 };
 BOOST_DESCRIBE_STRUCT(StreamPlan, (),
-                      (m_name, m_method, m_target, m_api_key, m_phases, m_work_ms, m_work_shape, m_body_bytes, m_keyed,
-                       m_resends, m_timeout_ms))
+                      (m_name, m_method, m_target, m_api_key, m_phases, m_work_ms, m_work_shape, m_body_bytes,
+                       m_keyed, m_resends, m_timeout_ms))
 
 /// Server to send to.
 struct Target {
@@ -57,10 +57,10 @@
   std::vector<Target> m_targets;
   std::vector<StreamPlan> m_streams;
   double m_duration_s = 5;
-  double m_grace_s = 15;      ///< Time after the last send for answers to come, s.
-  std::string m_outcomes;     ///< File for one line per attempt; empty for none.
+  double m_grace_s = 15;   ///< Time after the last send for answers to come, s.
+  std::string m_outcomes;  ///< File for one line per attempt; empty for none.
   std::int64_t m_seed = 1;
-  std::string m_run = "r";    ///< Makes keys and tokens of runs differ.
+  std::string m_run = "r";  ///< Makes keys and tokens of runs differ.
 };
 BOOST_DESCRIBE_STRUCT(Plan, (), (m_targets, m_streams, m_duration_s, m_grace_s, m_outcomes, m_seed, m_run))
 
@@ -76,7 +76,7 @@
   double m_max_ms = 0;
   std::map<std::string, std::int64_t> m_codes;  ///< By result name, or "HTTP n" of endpoints.
   std::vector<std::int64_t> m_answered_per_100ms;
-  std::vector<double> m_p99_ms_per_s;           ///< By second of sending.
+  std::vector<double> m_p99_ms_per_s;  ///< By second of sending.
 };
 BOOST_DESCRIBE_STRUCT(StreamReport, (),
                       (m_sent, m_answered, m_wrong, m_lost, m_resent, m_p50_ms, m_p99_ms, m_max_ms, m_codes,
@@ -165,7 +165,8 @@
     while (m_streams_done < m_plan.m_streams.size()) co_await Sleep(std::chrono::milliseconds(20));
     const double until = Elapsed() + m_plan.m_grace_s;
     while (Elapsed() < until) {
-      const bool open = std::any_of(m_states.begin(), m_states.end(), [](const State& s) { return s.m_open > 0; });
+      const bool open =
+          std::any_of(m_states.begin(), m_states.end(), [](const State& s) { return s.m_open > 0; });
       if (!open) break;
       co_await Sleep(std::chrono::milliseconds(20));
     }
@@ -190,12 +191,13 @@
       return connection;
     }
     const Target& to = m_plan.m_targets[target];
-    return std::make_unique<HttpConnection>(m_io.get_executor(), to.m_address, static_cast<std::uint16_t>(to.m_port));
+    return std::make_unique<HttpConnection>(m_io.get_executor(), to.m_address,
+                                            static_cast<std::uint16_t>(to.m_port));
   }
 
   /// One attempt; the result is the name of its outcome.
-  asio::awaitable<std::string> Attempt(std::size_t stream, RequestHead head, std::string body, std::string token,
-                                       std::string key) {
+  asio::awaitable<std::string> Attempt(std::size_t stream, RequestHead head, std::string body,
+                                       std::string token, std::string key) {
     const StreamPlan& plan = m_plan.m_streams[stream];
     StreamReport& report = m_states[stream].m_report;
     const std::size_t target = m_next_target++ % m_plan.m_targets.size();
@@ -206,8 +208,8 @@
     bool sent = true;
     try {
       const std::string expected = plan.m_body_bytes > 0 ? body : std::string();
-      const HttpAnswer answer =
-          co_await connection->Request(std::move(head), std::move(body), std::chrono::milliseconds(plan.m_timeout_ms));
+      const HttpAnswer answer = co_await connection->Request(std::move(head), std::move(body),
+                                                             std::chrono::milliseconds(plan.m_timeout_ms));
       status = answer.m_status;
       request_id = std::string(FindHeader(answer.m_headers, "fescue-request-id"));
       const std::string code(FindHeader(answer.m_headers, "fescue-code"));
@@ -255,16 +257,18 @@
     std::string body;
     while (static_cast<std::int64_t>(body.size()) < plan.m_body_bytes) body += unique + ";";
     body.resize(static_cast<std::size_t>(plan.m_body_bytes));
+    std::string key;
+    if (plan.m_keyed) key = unique;
     std::string outcome;
     for (std::int64_t attempt = 0; attempt <= plan.m_resends; ++attempt) {
       if (attempt > 0) {
         ++state.m_report.m_resent;
         co_await Sleep(std::chrono::milliseconds(200));
       }
-      outcome = co_await Attempt(stream, head, body, unique, plan.m_keyed ? unique : std::string());
+      outcome = co_await Attempt(stream, head, body, unique, key);
       // What certainly did not run, or has no known end, is sent again with its key.
-      const bool again = outcome == "CONNECTION_LOST" || outcome == "CONNECT_FAILED" || outcome == "NOT_RUN" ||
-                         outcome == "ATTEMPT_NOT_RUN";
+      const bool again = outcome == "CONNECTION_LOST" || outcome == "CONNECT_FAILED" ||
+                         outcome == "NOT_RUN" || outcome == "ATTEMPT_NOT_RUN";
       if (!again) break;
     }
     --state.m_open;
--- a/stand_ins/platform_main.cc
+++ b/stand_ins/platform_main.cc
@@ -43,7 +43,8 @@
 
   asio::awaitable<void> Handle(std::shared_ptr<HttpExchange> exchange) {
     std::string body;
-    for (std::string part = co_await exchange->ReadBody(); !part.empty(); part = co_await exchange->ReadBody()) {
+    for (std::string part = co_await exchange->ReadBody(); !part.empty();
+         part = co_await exchange->ReadBody()) {
       body += part;
     }
     const auto url = boost::urls::parse_origin_form(exchange->Head().m_target);
@@ -68,10 +69,14 @@
       exchange->Abort();
       co_return;
     }
-    if (path == "/hosts") co_await Hosts(exchange);
-    else if (path == "/lease") co_await GrantLease(exchange, query);
-    else if (path.starts_with("/kv/")) co_await KeyValue(exchange, path.substr(4), query, std::move(body));
-    else co_await Reply(exchange, 404, {});
+    if (path == "/hosts")
+      co_await Hosts(exchange);
+    else if (path == "/lease")
+      co_await GrantLease(exchange, query);
+    else if (path.starts_with("/kv/"))
+      co_await KeyValue(exchange, path.substr(4), query, std::move(body));
+    else
+      co_await Reply(exchange, 404, {});
   }
 
  private:
@@ -95,15 +100,18 @@
     const json::object& object = value.as_object();
     if (object.contains("faults")) m_faults = FromJson<Faults>(object.at("faults"));
     if (object.contains("leaving")) {
-      for (const auto& name : FromJson<std::vector<std::string>>(object.at("leaving"))) AddHostChange(name, true);
+      for (const auto& name : FromJson<std::vector<std::string>>(object.at("leaving")))
+        AddHostChange(name, true);
     }
     if (object.contains("staying")) {
-      for (const auto& name : FromJson<std::vector<std::string>>(object.at("staying"))) AddHostChange(name, false);
+      for (const auto& name : FromJson<std::vector<std::string>>(object.at("staying")))
+        AddHostChange(name, false);
     }
   }
 
   void AddHostChange(const std::string& name, bool leaving) {
-    m_host_changes.push_back({name, leaving, std::chrono::steady_clock::now() + std::chrono::milliseconds(m_lag)});
+    m_host_changes.push_back(
+        {name, leaving, std::chrono::steady_clock::now() + std::chrono::milliseconds(m_lag)});
   }
 
   asio::awaitable<void> Hosts(std::shared_ptr<HttpExchange> exchange) {
@@ -125,10 +133,12 @@
     co_await Reply(exchange, 200, json::serialize(list));
   }
 
-  asio::awaitable<void> GrantLease(std::shared_ptr<HttpExchange> exchange, std::map<std::string, std::string> query) {
+  asio::awaitable<void> GrantLease(std::shared_ptr<HttpExchange> exchange,
+                                   std::map<std::string, std::string> query) {
     ++m_counters.m_writes;
     const std::int64_t id = ++m_next_version;
-    m_leases[id] = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::atoll(query["ttl_ms"].c_str()));
+    m_leases[id] =
+        std::chrono::steady_clock::now() + std::chrono::milliseconds(std::atoll(query["ttl_ms"].c_str()));
     co_await Reply(exchange, 200, std::to_string(id));
   }
 
@@ -143,10 +153,14 @@
   asio::awaitable<void> KeyValue(std::shared_ptr<HttpExchange> exchange, std::string key,
                                  std::map<std::string, std::string> query, std::string body) {
     const std::string& method = exchange->Head().m_method;
-    if (method == "GET") co_await Read(exchange, std::move(key), std::move(query));
-    else if (method == "PUT") co_await Write(exchange, key, query, std::move(body));
-    else if (method == "DELETE") co_await Erase(exchange, key);
-    else co_await Reply(exchange, 405, {});
+    if (method == "GET")
+      co_await Read(exchange, std::move(key), std::move(query));
+    else if (method == "PUT")
+      co_await Write(exchange, key, query, std::move(body));
+    else if (method == "DELETE")
+      co_await Erase(exchange, key);
+    else
+      co_await Reply(exchange, 405, {});
   }
 
   asio::awaitable<void> Read(std::shared_ptr<HttpExchange> exchange, std::string key,
@@ -154,7 +168,8 @@
     if (query.contains("after")) {
       ++m_counters.m_watches;
       const std::int64_t after = std::atoll(query["after"].c_str());
-      const auto until = std::chrono::steady_clock::now() + std::chrono::milliseconds(std::atoll(query["wait_ms"].c_str()));
+      const auto until =
+          std::chrono::steady_clock::now() + std::chrono::milliseconds(std::atoll(query["wait_ms"].c_str()));
       while (std::chrono::steady_clock::now() < until) {
         const Value* value = Find(key);
         if (value && value->m_version > after) break;
@@ -168,8 +183,10 @@
       ++m_counters.m_reads;
     }
     const Value* value = Find(key);
-    if (value) co_await Reply(exchange, 200, value->m_text, value->m_version);
-    else co_await Reply(exchange, 404, {});
+    if (value)
+      co_await Reply(exchange, 200, value->m_text, value->m_version);
+    else
+      co_await Reply(exchange, 404, {});
   }
 
   asio::awaitable<void> Write(std::shared_ptr<HttpExchange> exchange, const std::string& key,
--- /dev/null
+++ b/unit_tests/fixtures.h
@@ -0,0 +1,17 @@
+#pragma once
+
+#include <memory>
+#include <string>
+
+#include "fescueramp/routing/route_table.h"
+
+namespace fescueramp {
+
+/// Text of a set with one service "work" of `endpoints` endpoints of `slots` slots, with the classes "short"
+/// (rank 1) and "long" (rank 5) and the accounts "alice" and "bob".
+std::string SmallSetText(int endpoints, int slots);
+
+/// The same set, compiled as revision 1.
+std::shared_ptr<const RouteTable> SmallTable(int endpoints, int slots);
+
+}  // namespace fescueramp
