--- a/bench/demo.py
+++ b/bench/demo.py
@@ -6,21 +6,10 @@
 import sys
 import tempfile
 
+from checks import doubled_keys
 from fleet import Fleet, authority_pools, example_objects, http, stream, utility_pools
 
 
-def check_runs(fleet, pools, report, keyed):
-    """Returns the keys that ran more than once."""
-    doubled = 0
-    for pool in pools:
-        seen = set()
-        for run in fleet.runs(pool):
-            if run["what"] == "started" and run["key"]:
-                doubled += run["key"] in seen
-                seen.add(run["key"])
-    return doubled
-
-
 def main():
     work = tempfile.mkdtemp(prefix="fescueramp-demo-")
     scale = float(os.environ.get("FESCUE_DEMO_SCALE", "1"))
@@ -51,7 +40,7 @@
                                                              row["lost"], row["p50_ms"], row["p99_ms"], others or ""))
             if row["wrong"] or row["lost"] or others:
                 problems.append(name)
-        doubled = check_runs(fleet, pools, report, keyed=True)
+        doubled = doubled_keys(fleet, pools)
         print("work that ran twice: %d" % doubled)
         if doubled:
             problems.append("doubled work")
--- /dev/null
+++ b/bench/scenarios.py
@@ -0,0 +1,373 @@
+"""Measurements by name. Each prints its progress and, as the last line, one JSON object."""
+
+import json
+import os
+import random
+import shutil
+import sys
+import tempfile
+import time
+
+import checks
+from fleet import (Fleet, Pool, authority_pools, example_objects, http, pool_objects, sha256, stream, utility_pools)
+
+SCENARIOS = {}
+WORK = tempfile.mkdtemp(prefix="fescueramp-bench-")
+
+
+def scenario(function):
+    SCENARIOS[function.__name__] = function
+    return function
+
+
+def one_pool_objects(pool, priorities=None, routes=None, floor=0.5):
+    """Set with one service on one pool."""
+    objects = pool_objects([pool])
+    objects["services"] = {pool.name: {"pool": pool.name, "floor": floor}}
+    objects["priorities"] = priorities or {
+        "filing": {"rank": 0, "max_wait_ms": 1000}, "read": {"rank": 1, "max_wait_ms": 300},
+        "archive": {"rank": 5, "max_wait_ms": 60000}}
+    base = {"service": pool.name, "deadline_ms": 10000}
+    objects["routes"] = routes or {
+        "read": dict(base, method="GET", path_prefix="/read", priority="read"),
+        "file": dict(base, method="POST", path_prefix="/file", priority="filing", repeatable=False),
+        "archive": dict(base, method="GET", path_prefix="/archive", priority="archive", deadline_ms=60000)}
+    return objects
+
+
+def run_fleet(name, policy, objects, pools, nodes=8, **more):
+    return Fleet(os.path.join(WORK, name + "-" + policy), nodes=nodes, pools=pools, policy=policy, **more)
+
+
+def start_published(fleet, objects):
+    status, body = fleet.publish(objects)
+    if status != 200:
+        raise RuntimeError("publish: %s" % body)
+    fleet.wait_revision(body["revision"])
+
+
+@scenario
+def added_latency():
+    """Time that the system adds, beside direct calls to the same stand-in."""
+    pool = Pool("status", 8, 2, 24000)
+    with run_fleet("added", "fair", None, [pool], nodes=4) as fleet:
+        start_published(fleet, one_pool_objects(pool))
+        # Below saturation, so that the difference is the path and not a queue.
+        plan = [stream("read", 200, "/read/{n}", 5)]
+        fleet.load(plan, 2, run="warm")
+        direct = fleet.load(plan, 10, targets=[pool.base_port + i for i in range(8)], run="direct")["read"]
+        through = fleet.load(plan, 10, run="through")["read"]
+    return {"direct_p50_ms": direct["p50_ms"], "direct_p99_ms": direct["p99_ms"], "p50_ms": through["p50_ms"],
+            "p99_ms": through["p99_ms"], "added_p50_ms": through["p50_ms"] - direct["p50_ms"],
+            "added_p99_ms": through["p99_ms"] - direct["p99_ms"], "wrong": through["wrong"], "lost": through["lost"],
+            "target_added_p99_ms": 2.7}
+
+
+@scenario
+def hundred_thousand():
+    """100,000 requests through four nodes, each answer checked."""
+    pool = Pool("reference", 20, 6, 24000)
+    with run_fleet("many", "fair", None, [pool], nodes=4) as fleet:
+        start_published(fleet, one_pool_objects(pool))
+        plan = [stream("read", 2500, "/read/{n}", 5), stream("file", 20, "/file/{n}", 5, method="POST", keyed=True,
+                                                            body_bytes=300)]
+        report = fleet.load(plan, 41, outcomes=os.path.join(fleet.work, "outcomes.jsonl"))
+        doubled = checks.doubled_keys(fleet, [pool])
+    return {"sent": sum(r["sent"] for r in report.values()), "wrong": sum(r["wrong"] for r in report.values()),
+            "lost": sum(r["lost"] for r in report.values()), "doubled": doubled,
+            "others": {k: v for r in report.values() for k, v in r["codes"].items() if k != "HTTP 200"}}
+
+
+@scenario
+def head_of_line():
+    """Short work beside night archives that saturate their class, over short work alone."""
+    result = {"target_ratio": 1.25}
+    for policy in ("fair", "baseline"):
+        pool = Pool("records", 8, 2, 24000)
+        with run_fleet("hol", policy, None, [pool]) as fleet:
+            start_published(fleet, one_pool_objects(pool))
+            # 16 slots; short work takes 30% of them.
+            short = stream("short", 240, "/read/{n}", 20, work_shape="exponential")
+            long = stream("long", 20, "/archive/{n}", 1000, timeout_ms=70000)
+            fleet.load([dict(short)], 3, run="warm")
+            alone = fleet.load([dict(short)], 20, run="alone")["short"]
+            beside = fleet.load([dict(short), long], 20, run="beside", grace_s=90)
+            done = sum(beside["long"]["answered_per_100ms"][50:200])
+            result[policy] = {"short_alone_p99_ms": alone["p99_ms"], "short_beside_p99_ms": beside["short"]["p99_ms"],
+                              "ratio": beside["short"]["p99_ms"] / alone["p99_ms"],
+                              "ratio_after_5s": max(beside["short"]["p99_ms_per_s"][5:]) / alone["p99_ms"],
+                              "archives_per_s": done / 15.0, "short_lost": beside["short"]["lost"],
+                              "short_codes": beside["short"]["codes"]}
+    return result
+
+
+@scenario
+def crest():
+    """Demand at half of capacity steps to three times capacity for 10 s; a filing counts twice."""
+    result = {"target_goodput": 0.95, "target_recovery_s": 1}
+    for policy in ("fair", "baseline"):
+        pool = Pool("dossier", 8, 6, 24000)
+        with run_fleet("crest", policy, None, [pool]) as fleet:
+            start_published(fleet, one_pool_objects(pool))
+            work_ms, slots = 40, 48
+            capacity = slots * 1000.0 / (work_ms + 2)  # The delay to the endpoint holds the slot as well.
+            shares = {"file": 0.2, "read": 0.8}
+            phases = lambda share: [{"at_s": 0, "rate": 0.5 * capacity * share},
+                                    {"at_s": 5, "rate": 3 * capacity * share},
+                                    {"at_s": 15, "rate": 0.5 * capacity * share}]
+            plan = [stream("file", 0, "/file/{n}", work_ms, method="POST", keyed=True, body_bytes=100,
+                           phases=phases(shares["file"])),
+                    stream("read", 0, "/read/{n}", work_ms, phases=phases(shares["read"]))]
+            report = fleet.load(plan, 22, grace_s=20, outcomes=os.path.join(fleet.work, "outcomes.jsonl"))
+            filings = sum(report["file"]["answered_per_100ms"][55:145])
+            reads = sum(report["read"]["answered_per_100ms"][55:145])
+            # The best the slots can do in those 9 s: all the filings that come, then reads.
+            possible_filings = min(3 * capacity * shares["file"], capacity) * 9
+            possible = 2 * possible_filings + (capacity * 9 - possible_filings)
+            normal = max(report["read"]["p99_ms_per_s"][1:5])
+            after = report["read"]["p99_ms_per_s"][16:21]
+            recovery = next((i + 1 for i, p in enumerate(after) if p <= 1.5 * normal), None)
+            result[policy] = {"goodput": (2 * filings + reads) / possible, "filings_answered": report["file"]["answered"],
+                              "filings_sent": report["file"]["sent"], "recovery_s": recovery,
+                              "doubled_filings": checks.doubled_keys(fleet, [pool]),
+                              "normal_p99_ms": normal, "after_p99_ms": after, "file_codes": report["file"]["codes"],
+                              "read_codes": report["read"]["codes"], "file_p99_ms": report["file"]["p99_ms"]}
+    return result
+
+
+def log_time(line):
+    """Seconds of the day of a glog line."""
+    hours, minutes, seconds = line.split()[1].split(":")
+    return int(hours) * 3600 + int(minutes) * 60 + float(seconds)
+
+
+def ejections(fleet):
+    """All ejections in the logs of all nodes: time of day, endpoint."""
+    found = []
+    for index in range(fleet.count):
+        with open(os.path.join(fleet.work, fleet.name(index) + ".log")) as file:
+            for line in file:
+                if " is ejected: " in line:
+                    found.append((log_time(line), line.split("endpoint ")[1].split(" of ")[0]))
+    return sorted(found)
+
+
+def day_time():
+    now = time.time()
+    return now % 86400
+
+
+@scenario
+def gray():
+    """Time and answers until endpoints that are ill in one way or another are ejected; false ejections."""
+    result = {"target_answers": 10, "target_error_s": 1, "target_slow_s": 2, "target_false": 0}
+    kinds = {"errors": {"error_rate": 0.5}, "slow": {"slow_factor": 5.0},
+             "flapping": {"error_rate": 0.6, "flap_ms": 1000}}
+    trials = int(os.environ.get("FESCUE_TRIALS", "5"))
+    for policy in ("fair", "baseline"):
+        result[policy] = {}
+        for kind, faults in kinds.items():
+            times, answers = [], []
+            pool = Pool("dossier", 8, 6, 24000)
+            with run_fleet("gray-" + kind, policy, None, [pool], nodes=4) as fleet:
+                start_published(fleet, one_pool_objects(pool))
+                load = fleet.load([stream("read", 400, "/read/{n}", 10, work_shape="lognormal")], 4 + 9 * trials,
+                                  background=True)
+                time.sleep(4)
+                for trial in range(trials):
+                    before = len(ejections(fleet))
+                    runs_before = sum(1 for r in fleet.runs(pool) if r["what"] == "ended" and r["endpoint"] == trial)
+                    since = day_time()
+                    fleet.endpoint_faults(pool, trial, **faults)
+                    time.sleep(5)
+                    runs = [r for r in fleet.runs(pool) if r["what"] == "ended" and r["endpoint"] == trial]
+                    fleet.endpoint_faults(pool, trial)
+                    hits = [t for t, name in ejections(fleet)[before:] if name == pool.endpoint(trial)]
+                    if hits:
+                        times.append(hits[0] - since)
+                        answers.append(sum(1 for r in runs[runs_before:] if (r["t_ms"] / 1000.0) % 86400 <= hits[0]))
+                    time.sleep(4)
+                load.communicate()
+            times.sort()
+            answers.sort()
+            result[policy][kind] = {"found": len(times), "of": trials,
+                                    "median_s": times[len(times) // 2] if times else None,
+                                    "worst_s": times[-1] if times else None,
+                                    "median_answers": answers[len(answers) // 2] if answers else None}
+    return result
+
+
+@scenario
+def false_ejections():
+    """200,000 answers with 1% errors and heavy-tailed times, then all endpoints worse together."""
+    result = {"target": 0}
+    for policy in ("fair", "baseline"):
+        pool = Pool("reference", 20, 6, 24000)
+        with run_fleet("false", policy, None, [pool], nodes=4) as fleet:
+            start_published(fleet, one_pool_objects(pool))
+            fleet.endpoint_faults(pool, -1, error_rate=0.01)
+            report = fleet.load([stream("read", 2400, "/read/{n}", 8, work_shape="lognormal")], 85)["read"]
+            steady = len(ejections(fleet))
+            fleet.endpoint_faults(pool, -1, error_rate=0.3, slow_factor=3.0)
+            fleet.load([stream("read", 1200, "/read/{n}", 8, work_shape="lognormal")], 10)
+            result[policy] = {"answers": report["answered"], "false_ejections": steady,
+                              "ejections_when_all_worsen": len(ejections(fleet)) - steady,
+                              "codes": report["codes"]}
+    return result
+
+
+@scenario
+def poison():
+    """Endpoints lost to one request that crashes what runs it, sent again and again by its caller."""
+    result = {"target_crashes": 2}
+    for policy in ("fair", "baseline"):
+        pool = Pool("dossier", 8, 6, 24000)
+        with run_fleet("poison", policy, None, [pool], nodes=4) as fleet:
+            start_published(fleet, one_pool_objects(pool))
+            fleet.endpoint_faults(pool, -1, crash_on="poison", restart_ms=3000)
+            load = fleet.load([stream("read", 300, "/read/{n}", 20)], 10, background=True)
+            time.sleep(2)
+            codes = []
+            for _ in range(10):
+                status, body = http("GET", fleet.caller(0), "/read/poison")
+                codes.append(json.loads(body)["result"] if body.startswith("{") else status)
+                time.sleep(0.3)
+            report = json.loads(load.communicate()[0])["read"]
+            crashes = sum(1 for run in fleet.runs(pool) if run["what"] == "crashed")
+        result[policy] = {"crashes": crashes, "told": codes, "others_answered": report["answered"],
+                          "others_sent": report["sent"], "others_codes": report["codes"], "lost": report["lost"]}
+    return result
+
+
+@scenario
+def failover():
+    """Time until a killed dispatcher's service answers again."""
+    gaps, lost, others = [], 0, {}
+    trials = int(os.environ.get("FESCUE_TRIALS", "5"))
+    for trial in range(trials):
+        pool = Pool("dossier", 8, 6, 24000)
+        with run_fleet("failover%d" % trial, "fair", None, [pool], nodes=8, seed=trial + 1) as fleet:
+            start_published(fleet, one_pool_objects(pool))
+            owner = fleet.owner("dossier")
+            others_ports = [fleet.caller(i) for i in range(fleet.count) if fleet.name(i) != owner]
+            load = fleet.load([stream("read", 400, "/read/{n}", 20)], 6, targets=others_ports, background=True)
+            time.sleep(2.5)
+            fleet.kill(owner)
+            report = json.loads(load.communicate()[0])["read"]
+            buckets = report["answered_per_100ms"][10:58]
+            gap = longest = 0
+            for count in buckets:
+                gap = gap + 1 if count < 8 else 0
+                longest = max(longest, gap)
+            gaps.append(longest * 0.1)
+            lost += report["sent"] - report["answered"]
+            others = report["codes"]
+    return {"worst_gap_s": max(gaps), "gaps_s": gaps, "repeatable_not_answered": lost, "last_codes": others,
+            "target_gap_s": 1, "target_not_answered": 0}
+
+
+@scenario
+def converge():
+    """Time until a publish is in force on 48 nodes, and calls of the store."""
+    count = int(os.environ.get("FESCUE_NODES", "48"))
+    pool = Pool("status", 8, 2, 24000)
+    medians, worsts, calls = [], [], []
+    with run_fleet("converge", "fair", None, [pool], nodes=count) as fleet:
+        objects = one_pool_objects(pool)
+        start_published(fleet, objects)
+        time.sleep(3)
+        before = fleet.counters()
+        time.sleep(10)
+        idle = fleet.counters()
+        idle_rate = sum(idle[k] - before[k] for k in before) / 10.0
+        for trial in range(5):
+            objects["services"]["status"]["retry_ratio"] = 0.1 + trial / 100.0
+            start = sum(fleet.counters().values())
+            begun = time.time()
+            status, body = fleet.publish(objects)
+            if status != 200:
+                raise RuntimeError(body)
+            times = converge_times(fleet, body["revision"], begun)
+            calls.append(sum(fleet.counters().values()) - start)
+            medians.append(sorted(times)[len(times) // 2])
+            worsts.append(max(times))
+            time.sleep(1)
+    return {"nodes": count, "median_s": sorted(medians)[2], "worst_s": max(worsts), "store_calls_per_publish": calls,
+            "store_calls_per_idle_s": idle_rate, "target_worst_s": 2}
+
+
+def converge_times(fleet, revision, begun):
+    """Seconds until each node logged that the revision is in force."""
+    fleet.wait_revision(revision)
+    times = []
+    for index in range(fleet.count):
+        with open(os.path.join(fleet.work, fleet.name(index) + ".log")) as file:
+            for line in file:
+                if "revision %d is in force" % revision in line:
+                    times.append(log_time(line) - begun % 86400)
+    return times
+
+
+@scenario
+def control_cost():
+    """Processor, memory and bytes a second of one node for control, by size of the fleet."""
+    sizes = [int(s) for s in os.environ.get("FESCUE_SIZES", "8,16,32,48,128").split(",")]
+    rows = []
+    for count in sizes:
+        pool = Pool("status", 8, 2, 27000)
+        with Fleet(os.path.join(WORK, "control-%d" % count), nodes=count, pools=[pool], base_port=20000) as fleet:
+            start_published(fleet, one_pool_objects(pool))
+            time.sleep(5)
+            idle = control_sample(fleet, 10)
+            for step in range(5):  # Churn: a node of the fleet restarts every 2 s.
+                index = count - 1 - step
+                fleet.kill(fleet.name(index))
+                time.sleep(1)
+                fleet.start_node(index)
+                time.sleep(1)
+            churn = control_sample(fleet, 10, range(count - 5))
+            rows.append({"nodes": count, "idle": idle, "churn": churn})
+            print(json.dumps(rows[-1]), flush=True)
+    return {"rows": rows, "target_core_share": 0.014, "target_mb": 32, "target_bytes_per_s": 3072}
+
+
+def control_sample(fleet, seconds, nodes=None):
+    nodes = list(range(fleet.count) if nodes is None else nodes)
+    before = [process_cost(fleet, i) for i in nodes]
+    time.sleep(seconds)
+    after = [process_cost(fleet, i) for i in nodes]
+    size = float(len(nodes))
+    return {"core_share": sum(a[0] - b[0] for a, b in zip(after, before)) / size / seconds,
+            "resident_mb": sum(a[1] for a in after) / size,
+            "bytes_per_s": sum(a[2] - b[2] for a, b in zip(after, before)) / size / seconds}
+
+
+def process_cost(fleet, index):
+    """Processor seconds, resident MB and gossip bytes of a node's process."""
+    pid = fleet.processes[fleet.name(index)].pid
+    fields = open("/proc/%d/stat" % pid).read().rsplit(")", 1)[1].split()
+    cpu = (int(fields[11]) + int(fields[12])) / float(os.sysconf("SC_CLK_TCK"))
+    resident = int(fields[21]) * os.sysconf("SC_PAGE_SIZE") / 1e6
+    bytes_sent = 0
+    for line in http("GET", fleet.admin(index), "/metrics")[1].splitlines():
+        if line.startswith("fescueramp_node{name=\"gossip_bytes_"):
+            bytes_sent += float(line.rsplit(" ", 1)[1])
+    return cpu, resident, bytes_sent
+
+
+def main():
+    names = sys.argv[1:]
+    if not names or any(name not in SCENARIOS for name in names):
+        print("usage: bench/run.sh NAME; names: %s" % ", ".join(sorted(SCENARIOS)), file=sys.stderr)
+        return 2
+    try:
+        for name in names:
+            print(json.dumps({name: SCENARIOS[name]()}), flush=True)
+    finally:
+        if not os.environ.get("FESCUE_KEEP"):
+            shutil.rmtree(WORK, ignore_errors=True)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
