Test claims, membership and replay with small fakes, and add the golden session

The golden file is the trace of a real node under load with an ill endpoint, a drain and a graceful end; its replay gives the same effects.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -14,6 +14,8 @@
 LINK_KEY = "example-link-key-0001"
 RECEIPT_KEY = "example-receipt-key-0001"
 TOKEN = "example-operator-token"
+# Lets two runs work side by side.
+PORT_SHIFT = int(os.environ.get("FESCUE_PORT_SHIFT", "0"))
 READ_TOKEN = "example-reader-token"
 
 
@@ -38,8 +40,8 @@
     """Endpoints of one pool: one stand-in process."""
 
     def __init__(self, name, count, slots, base_port, connections=330):
-        self.name, self.count, self.slots, self.base_port = name, count, slots, base_port
-        self.control_port = base_port + 90
+        self.name, self.count, self.slots, self.base_port = name, count, slots, base_port + PORT_SHIFT
+        self.control_port = self.base_port + 90
         self.connections = connections
 
     def endpoint(self, index):
@@ -52,10 +54,10 @@
     def __init__(self, work, nodes=4, pools=(), base_port=21000, policy="fair", zones=4, settings=None,
                  cutters=False, seed=1):
         self.work, self.count, self.pools = work, nodes, list(pools)
-        self.base, self.policy, self.zones, self.seed = base_port, policy, zones, seed
+        self.base, self.policy, self.zones, self.seed = base_port + PORT_SHIFT, policy, zones, seed
         self.extra, self.cutters = settings or {}, cutters
-        self.platform_port = base_port + 900
-        self.cut_control = base_port + 901
+        self.platform_port = self.base + 900
+        self.cut_control = self.base + 901
         self.processes = {}
         self.frozen = set()
         os.makedirs(work, exist_ok=True)
--- /dev/null
+++ b/unit_tests/node_group.h
@@ -0,0 +1,81 @@
+#pragma once
+
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fescueramp/node/trace.h"
+#include "unit_tests/fake_store.h"
+
+namespace fescueramp {
+
+/// A few reducers joined by datagrams that arrive at once, with a fake store. A fake at the interface of the
+/// reducer: no sockets, one clock, the same run every time.
+class NodeGroup {
+ public:
+  explicit NodeGroup(int count);
+
+  /// Lets time pass in steps of 50 ms.
+  void Run(Duration span);
+
+  /// Applies one event and returns its effects; datagrams and store operations among them are carried out.
+  Effects Post(int node, const Event& event);
+
+  /// Lets time pass and returns all effects of one node.
+  Effects RunAndCollect(int node, Duration span);
+
+  void Load(int node, std::int64_t revision, const std::string& text);
+  void Kill(int node) { m_nodes[Index(node)].m_reducer.reset(); }
+  void Restart(int node);
+  void Pause(int node, bool paused) { m_nodes[Index(node)].m_paused = paused; }
+
+  /// Loses every datagram from one node to another.
+  void Cut(int from, int to) { m_cuts.insert({from, to}); }
+  void Mend() { m_cuts.clear(); }
+  void SetStoreDown(bool down) { m_store.SetDown(down); }
+
+  /// Writes the events of a node from now on; the node restarts so that the trace is whole.
+  void Record(int node, std::ostream& out);
+
+  NodeReducer& Node(int node) { return *m_nodes[Index(node)].m_reducer; }
+
+  /// Nodes that one node believes alive.
+  std::vector<std::string> Alive(int node);
+
+  /// Changes of members that were reported so far, by all nodes.
+  int MemberReports() const { return m_member_reports; }
+  Instant Now() const { return m_now; }
+
+ private:
+  struct Item {
+    std::unique_ptr<NodeReducer> m_reducer;
+    std::unique_ptr<TraceWriter> m_trace;
+    std::string m_text;  ///< Set in force.
+    bool m_paused = false;
+  };
+  struct Datagram {
+    int m_from = 0;
+    int m_to = 0;
+    GossipMessage m_message;
+  };
+
+  static std::size_t Index(int node) { return static_cast<std::size_t>(node); }
+  static int PortOf(int node) { return 100 + node; }
+  NodeSettings SettingsOf(int node) const;
+  void Carry(int node, const Effects& effects);
+  void DeliverDatagrams();
+
+  Instant m_now{std::chrono::seconds(1'700'000'000)};
+  std::vector<Item> m_nodes;
+  std::deque<Datagram> m_datagrams;
+  std::set<std::pair<int, int>> m_cuts;
+  FakeStore m_store;
+  int m_member_reports = 0;
+  int m_collect_node = -1;
+  Effects m_collected;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/unit_tests/node_test.cc
@@ -0,0 +1,284 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+#include <fstream>
+#include <sstream>
+
+#include "fescueramp/node/trace.h"
+#include "unit_tests/fixtures.h"
+#include "unit_tests/node_group.h"
+
+namespace fescueramp {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(node)
+
+BOOST_AUTO_TEST_CASE(NodesFindOneAnotherThroughASeed) {
+  NodeGroup group(8);
+  group.Run(seconds(5));
+  for (int i = 0; i < 8; ++i) BOOST_TEST(group.Alive(i).size() == 8U);
+}
+
+BOOST_AUTO_TEST_CASE(KilledNodeIsNoticedByAll) {
+  NodeGroup group(8);
+  group.Run(seconds(5));
+  group.Kill(3);
+  group.Run(seconds(15));
+  for (int i = 0; i < 8; ++i) {
+    if (i != 3) BOOST_TEST(group.Alive(i).size() == 7U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RestartedNodeIsTakenBack) {
+  NodeGroup group(5);
+  group.Run(seconds(5));
+  group.Kill(2);
+  group.Run(seconds(15));
+  group.Restart(2);
+  group.Run(seconds(10));
+  for (int i = 0; i < 5; ++i) BOOST_TEST(group.Alive(i).size() == 5U);
+}
+
+/// Direction in which a link between two nodes is cut.
+struct LinkCut {
+  bool m_to;
+  bool m_from;
+};
+
+std::ostream& operator<<(std::ostream& out, const LinkCut& cut) { return out << cut.m_to << cut.m_from; }
+
+const LinkCut kLinkCuts[] = {{true, false}, {false, true}, {true, true}};
+
+BOOST_DATA_TEST_CASE(CutLinkBetweenTwoNodesDoesNotMoveOwnership, boost::unit_test::data::make(kLinkCuts),
+                     cut) {
+  NodeGroup group(6);
+  group.Run(seconds(5));
+  const std::string owner = group.Node(0).OwnerOf("work");
+  const int changes = group.MemberReports();
+  if (cut.m_to) group.Cut(1, 2);
+  if (cut.m_from) group.Cut(2, 1);
+  group.Run(seconds(60));
+  for (int i = 0; i < 6; ++i) BOOST_TEST(group.Node(i).OwnerOf("work") == owner);
+  BOOST_TEST(group.MemberReports() == changes);
+}
+
+BOOST_AUTO_TEST_CASE(TwoSidesOfAHealedCutFindOneAnother) {
+  NodeGroup group(6);
+  group.Run(seconds(5));
+  for (int a = 0; a < 3; ++a) {
+    for (int b = 3; b < 6; ++b) {
+      group.Cut(a, b);
+      group.Cut(b, a);
+    }
+  }
+  group.Run(seconds(60));
+  BOOST_TEST(group.Alive(0).size() == 3U);
+  group.Mend();
+  group.Run(seconds(60));
+  for (int i = 0; i < 6; ++i) BOOST_TEST(group.Alive(i).size() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(PausedNodeThatWakesIsTakenBack) {
+  NodeGroup group(5);
+  group.Run(seconds(5));
+  group.Pause(4, true);
+  group.Run(seconds(30));
+  BOOST_TEST(group.Alive(0).size() == 4U);
+  group.Pause(4, false);
+  group.Run(seconds(40));
+  for (int i = 0; i < 5; ++i) BOOST_TEST(group.Alive(i).size() == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(RevisionSpreadsAndNeverGoesBack) {
+  NodeGroup group(8);
+  group.Run(seconds(5));
+  group.Load(0, 5, SmallSetText(4, 2));
+  group.Run(seconds(2));
+  for (int i = 0; i < 8; ++i) BOOST_TEST(group.Node(i).Revision() == 5);
+  group.Load(3, 4, SmallSetText(2, 2));
+  group.Run(seconds(2));
+  for (int i = 0; i < 8; ++i) BOOST_TEST(group.Node(i).Revision() == 5);
+}
+
+BOOST_AUTO_TEST_CASE(RevisionSurvivesRestartsOfAllButOneNode) {
+  NodeGroup group(5);
+  group.Run(seconds(5));
+  group.Load(0, 9, SmallSetText(4, 2));
+  group.Run(seconds(3));
+  for (int i = 1; i < 5; ++i) group.Restart(i);
+  group.Run(seconds(5));
+  group.Restart(0);
+  group.Run(seconds(10));
+  for (int i = 0; i < 5; ++i) BOOST_TEST(group.Node(i).Revision() == 9);
+}
+
+BOOST_AUTO_TEST_CASE(BadRevisionDoesNotReplaceAGoodOne) {
+  NodeGroup group(1);
+  group.Load(0, 1, SmallSetText(4, 2));
+  group.Load(0, 2, "{\"services\": {\"work\": {\"pool\": \"nowhere\"}}}");
+  group.Load(0, 3, "not JSON");
+  BOOST_TEST(group.Node(0).Revision() == 1);
+}
+
+BOOST_AUTO_TEST_CASE(NodeWithoutConfigurationIsNotReady) {
+  NodeGroup group(1);
+  BOOST_TEST(!group.Node(0).Ready());
+  const Effects effects = group.Post(0, RequestReceived{"n0-1", "GET", "/read/1", "", "", 0});
+  BOOST_REQUIRE(effects.size() == 1U);
+  BOOST_TEST(std::get<RefuseRequest>(effects[0]).m_code == static_cast<std::int64_t>(ResultCode::kNotReady));
+}
+
+/// A request and the code with which the entry host refuses it.
+struct Refused {
+  const char* m_name;
+  RequestReceived m_request;
+  ResultCode m_code;
+};
+
+std::ostream& operator<<(std::ostream& out, const Refused& row) { return out << row.m_name; }
+
+const Refused kRefused[] = {
+    {"no route", {"n0-1", "GET", "/nothing", "", "", 0}, ResultCode::kNoRoute},
+    {"wrong method", {"n0-1", "DELETE", "/read/1", "", "", 0}, ResultCode::kNoRoute},
+    {"unknown key", {"n0-1", "GET", "/read/1", "ffff", "", 0}, ResultCode::kUnknownAccount},
+    {"no idempotency key", {"n0-1", "POST", "/file", "", "", 10}, ResultCode::kMissingIdempotencyKey},
+    {"long idempotency key",
+     {"n0-1", "POST", "/file", "", std::string(129, 'k'), 10},
+     ResultCode::kMissingIdempotencyKey},
+    {"large body", {"n0-1", "GET", "/read/1", "", "", 1'000'000'000'000}, ResultCode::kBodyTooLarge},
+};
+
+BOOST_DATA_TEST_CASE(BadRequestIsRefusedWithItsCode, boost::unit_test::data::make(kRefused), row) {
+  NodeGroup group(1);
+  group.Load(0, 1, SmallSetText(4, 2));
+  const Effects effects = group.Post(0, row.m_request);
+  BOOST_REQUIRE(effects.size() == 1U);
+  BOOST_TEST(std::get<RefuseRequest>(effects[0]).m_code == static_cast<std::int64_t>(row.m_code));
+}
+
+BOOST_AUTO_TEST_CASE(AccountAboveItsRateIsRefused) {
+  NodeGroup group(1);
+  group.Load(0, 1, SmallSetText(4, 2));
+  int refused = 0;
+  for (int i = 0; i < 20; ++i) {
+    const std::string id = "n0-" + std::to_string(i);
+    for (const auto& effect :
+         group.Post(0, RequestReceived{id, "GET", "/read/1", std::string(64, 'c'), "", 0})) {
+      refused += std::holds_alternative<RefuseRequest>(effect) ? 1 : 0;
+    }
+    group.Post(0, ForwardEnded{id, "n0", ForwardOutcome::kAnswered, true});
+  }
+  BOOST_TEST(refused == 15);
+}
+
+/// How a forward fails, whether the work is repeatable, and the code when no other way is left.
+struct ForwardFailure {
+  ForwardOutcome m_outcome;
+  bool m_repeatable;
+  bool m_body_replayable;
+  ResultCode m_code;  ///< kOk when the request goes to another dispatcher.
+};
+
+std::ostream& operator<<(std::ostream& out, const ForwardFailure& row) {
+  return out << EnumName(row.m_outcome) << (row.m_repeatable ? " repeatable" : " once")
+             << (row.m_body_replayable ? "" : " long body");
+}
+
+const ForwardFailure kForwardFailures[] = {
+    {ForwardOutcome::kConnectFailed, true, true, ResultCode::kOk},
+    {ForwardOutcome::kConnectFailed, false, true, ResultCode::kOk},
+    {ForwardOutcome::kLinkLost, true, true, ResultCode::kOk},
+    {ForwardOutcome::kLinkLost, false, true, ResultCode::kOk},
+    {ForwardOutcome::kHandedBack, false, true, ResultCode::kOk},
+    {ForwardOutcome::kLinkLost, true, false, ResultCode::kAnswerIncomplete},
+    {ForwardOutcome::kLinkLost, false, false, ResultCode::kOutcomeUnknown},
+    {ForwardOutcome::kTimedOut, false, true, ResultCode::kOutcomeUnknown},
+    {ForwardOutcome::kHandedBack, true, false, ResultCode::kNotRun},
+    {ForwardOutcome::kHandedBack, false, false, ResultCode::kAttemptNotRun},
+};
+
+BOOST_DATA_TEST_CASE(FailedForwardIsTriedElsewhereOrAnsweredPlainly,
+                     boost::unit_test::data::make(kForwardFailures), row) {
+  NodeGroup group(4);
+  group.Run(seconds(5));
+  group.Load(0, 1, SmallSetText(4, 2));
+  const RequestReceived request{
+      "n0-1", row.m_repeatable ? "GET" : "POST", row.m_repeatable ? "/read/1" : "/file", "", "key", 0};
+  const Effects first = group.Post(0, request);
+  const auto& forward = std::get<ForwardRequest>(first.at(0));
+  const Effects next =
+      group.Post(0, ForwardEnded{"n0-1", forward.m_node, row.m_outcome, row.m_body_replayable});
+  BOOST_REQUIRE(next.size() == 1U);
+  if (row.m_code == ResultCode::kOk) {
+    const auto& again = std::get<ForwardRequest>(next[0]);
+    BOOST_TEST(again.m_request.m_request_id != forward.m_request.m_request_id);
+    if (row.m_outcome != ForwardOutcome::kHandedBack) BOOST_TEST(again.m_node != forward.m_node);
+  } else {
+    BOOST_TEST(std::get<RefuseRequest>(next[0]).m_code == static_cast<std::int64_t>(row.m_code));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(NonRepeatableWorkIsSentOnlyAfterItsClaimIsWritten) {
+  NodeGroup group(1);
+  group.Load(0, 1, SmallSetText(4, 2));
+  DispatchRequest request;
+  request.m_request_id = "n0-1";
+  request.m_service = "work";
+  request.m_class_name = "filing";
+  request.m_repeatable = false;
+  request.m_claim_key = 77;
+  request.m_deadline = group.Now() + seconds(5);
+  const auto started = [](const Effects& effects) {
+    return std::any_of(effects.begin(), effects.end(),
+                       [](const Effect& e) { return std::holds_alternative<StartAttempt>(e); });
+  };
+  group.SetStoreDown(true);
+  BOOST_TEST(!started(group.Post(0, DispatchArrived{request, 0})));
+  BOOST_TEST(!started(group.RunAndCollect(0, milliseconds(500))));
+  group.SetStoreDown(false);
+  BOOST_TEST(started(group.RunAndCollect(0, milliseconds(800))));
+}
+
+BOOST_AUTO_TEST_CASE(TraceReplaysToTheSameEffects) {
+  NodeGroup group(3);
+  std::stringstream trace;
+  group.Record(0, trace);
+  group.Run(seconds(3));
+  group.Load(0, 1, SmallSetText(4, 2));
+  group.Post(0, RequestReceived{"n0-1", "GET", "/read/1", "", "", 0});
+  group.Run(seconds(3));
+  BOOST_TEST(ReplayTrace(trace, 10).size() == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(ChangedEffectShowsAsADifference) {
+  NodeGroup group(1);
+  std::stringstream trace;
+  group.Record(0, trace);
+  group.Load(0, 1, SmallSetText(4, 2));
+  group.Post(0, RequestReceived{"n0-1", "GET", "/nothing", "", "", 0});
+  std::string text = trace.str();
+  const auto code = text.find("1002");
+  BOOST_REQUIRE(code != std::string::npos);
+  text.replace(code, 4, "1003");
+  std::istringstream changed(text);
+  const auto differences = ReplayTrace(changed, 10);
+  BOOST_REQUIRE(differences.size() == 1U);
+  BOOST_TEST(differences[0].m_line == 3);
+}
+
+BOOST_AUTO_TEST_CASE(GoldenSessionReplays) {
+  std::ifstream trace(std::string(SOURCE_DIR) + "/unit_tests/golden/session.jsonl");
+  BOOST_REQUIRE(trace.good());
+  for (const auto& difference : ReplayTrace(trace, 3)) {
+    BOOST_ERROR("line " << difference.m_line << ": recorded " << difference.m_recorded << ", replayed "
+                        << difference.m_replayed);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace fescueramp
