--- a/bench/run.sh
+++ b/bench/run.sh
@@ -3,4 +3,5 @@
 set -euo pipefail
 cd "$(dirname "$0")/.."
 [ -x build/fescued ] || scripts/build.sh
+if [ "${1:-}" = decision_cost ]; then exec build/decision_cost; fi
 exec python3 bench/scenarios.py "$@"
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -8,9 +8,10 @@
 import tempfile
 import threading
 import time
+import urllib.request
 
 import checks
-from fleet import (TOKEN, Fleet, Pool, authority_pools, example_objects, http, pool_objects, sha256, stream, utility_pools)
+from fleet import (READ_TOKEN, TOKEN, Fleet, Pool, authority_pools, example_objects, http, pool_objects, sha256, stream, utility_pools)
 
 SCENARIOS = {}
 POLICIES = os.environ.get("FESCUE_POLICIES", "fair,baseline").split(",")
@@ -65,6 +66,61 @@
             "target_added_p99_ms": 2.7}
 
 
+@scenario
+def large_body():
+    """A request and an answer of 32 MB, equal byte by byte, while other traffic goes on; and malformed requests."""
+    pool = Pool("reference", 8, 6, 24000)
+    with run_fleet("large", "fair", None, [pool], nodes=4) as fleet:
+        objects = one_pool_objects(pool)
+        objects["routes"]["upload"] = {"service": pool.name, "method": "POST", "path_prefix": "/upload",
+                                       "priority": "read", "deadline_ms": 60000}
+        start_published(fleet, objects)
+        load = fleet.load([stream("read", 200, "/read/{n}", 5)], 10, background=True)
+        body = os.urandom(32 * 1024 * 1024)
+        equal, seconds = 0, []
+        for index in range(fleet.count):
+            begun = time.time()
+            equal += raw_http("POST", fleet.caller(index), "/upload", body) == body
+            seconds.append(time.time() - begun)
+        malformed = {
+            "bad request": http("GET", fleet.caller(0), "/nothing")[1],
+            "bad set": json.dumps(fleet.publish("{\"services\": {\"s\": {\"pool\": \"x\"}}}", base=1)[1]),
+            "bad token": http("GET", fleet.admin(0), "/v1/status", token="wrong")[1],
+            "reader publishes": http("POST", fleet.admin(0), "/v1/publish?base=1&publish_id=x", "{}", token=READ_TOKEN)[1]}
+        report = json.loads(load.communicate()[0])["read"]
+        memory = max(process_cost(fleet, i)[1] for i in range(fleet.count))
+    return {"equal": equal, "of": fleet.count, "seconds": seconds, "most_resident_mb": memory,
+            "results": {name: json.loads(text)["result"] for name, text in malformed.items()},
+            "others_answered": report["answered"], "others_sent": report["sent"]}
+
+
+def raw_http(method, port, path, body):
+    request = urllib.request.Request("http://127.0.0.1:%d%s" % (port, path), data=body, method=method)
+    with urllib.request.urlopen(request, timeout=60) as answer:
+        return answer.read()
+
+
+@scenario
+def recording_cost():
+    """Processor time of the nodes per request, with decision records and without, in turn."""
+    cost = {8192: [], 0: []}
+    for turn in range(3):
+        for records in cost:
+            pool = Pool("reference", 20, 6, 24000)
+            with run_fleet("recording-%d-%d" % (turn, records), "fair", None, [pool], nodes=4,
+                           settings={"journal_records": records}) as fleet:
+                start_published(fleet, one_pool_objects(pool))
+                plan = [stream("read", 1500, "/read/{n}", 5)]
+                fleet.load(plan, 2, run="warm")
+                before = sum(process_cost(fleet, i)[0] for i in range(fleet.count))
+                answered = fleet.load(plan, 8, run="measured")["read"]["answered"]
+                after = sum(process_cost(fleet, i)[0] for i in range(fleet.count))
+                cost[records].append((after - before) / answered * 1e6)
+    on, off = sorted(cost[8192])[1], sorted(cost[0])[1]
+    return {"on_us": on, "off_us": off, "throughput_lost": 1 - off / on, "all_us": {str(k): v for k, v in cost.items()},
+            "target_lost": 0.03}
+
+
 @scenario
 def hundred_thousand():
     """100,000 requests through four nodes, each answer checked."""
--- a/fescueramp/core/json_codec.cc
+++ b/fescueramp/core/json_codec.cc
@@ -15,7 +15,9 @@
   if (!ec && parsed < text.size()) ec = json::error::extra_data;
   if (!ec) parser.finish(ec);
   if (ec) {
-    const auto line = std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(parsed), '\n') + 1;
+    // The parser can report more than it was given when the text begins with half a comment.
+    const std::size_t read = std::min(parsed, text.size());
+    const auto line = std::count(text.begin(), text.begin() + static_cast<std::ptrdiff_t>(read), '\n') + 1;
     throw Error(code, "not JSON near line " + std::to_string(line) + ": " + ec.message());
   }
   return parser.release();
--- a/fescueramp/net/http_server.cc
+++ b/fescueramp/net/http_server.cc
@@ -18,6 +18,41 @@
 
 using Parser = http::request_parser<http::buffer_body>;
 
+/// Why a header must not be acted on, or an empty text. Stricter than the parser: whatever two readers could
+/// take differently is refused.
+std::string FindAmbiguity(const Parser& parser) {
+  const auto& message = parser.get();
+  const auto digits = [](beast::string_view text) {
+    return !text.empty() && text.find_first_not_of("0123456789") == beast::string_view::npos;
+  };
+  if (message.version() != 11 && message.version() != 10) return "unknown HTTP version";
+  if (message.count(http::field::content_length) > 1) return "more than one Content-Length";
+  const bool has_length = message.count(http::field::content_length) == 1;
+  if (has_length && !digits(message[http::field::content_length])) return "Content-Length is not a number";
+  const std::size_t codings = message.count(http::field::transfer_encoding);
+  if (codings > 1 || (codings == 1 && !beast::iequals(message[http::field::transfer_encoding], "chunked"))) {
+    return "Transfer-Encoding is not chunked";
+  }
+  if (codings == 1 && has_length) return "both Content-Length and Transfer-Encoding";
+  if (codings == 1 && message.version() == 10) return "Transfer-Encoding in HTTP/1.0";
+  const std::size_t hosts = message.count(http::field::host);
+  if (hosts > 1 || (hosts == 0 && message.version() == 11)) return "not one Host";
+  if (message.target().empty() || message.target().front() != '/') return "the target does not begin with /";
+  return {};
+}
+
+/// Answers a malformed request; the connection must end after it.
+asio::awaitable<void> Refuse(const HttpServerSettings& settings, beast::tcp_stream& stream,
+                             const std::string& problem) {
+  http::response<http::string_body> response{http::status::bad_request, 11};
+  response.keep_alive(false);
+  response.set(http::field::content_type, "application/json");
+  if (settings.m_malformed_body) response.body() = settings.m_malformed_body(problem);
+  response.prepare_payload();
+  stream.expires_after(settings.m_body_timeout);
+  co_await http::async_write(stream, response, asio::use_awaitable);
+}
+
 class BeastExchange final : public HttpExchange, public std::enable_shared_from_this<BeastExchange> {
  public:
   BeastExchange(beast::tcp_stream& stream, beast::flat_buffer& buffer, Parser& parser,
@@ -243,15 +278,13 @@
       co_await http::async_read_header(stream, buffer, parser, asio::redirect_error(asio::use_awaitable, ec));
       const bool malformed = ec && ec.category() == make_error_code(http::error::bad_method).category() &&
                              ec != http::error::end_of_stream && ec != http::error::partial_message;
-      if (malformed && state->m_settings.m_malformed_body) {
-        http::response<http::string_body> response{http::status::bad_request, 11};
-        response.keep_alive(false);
-        response.set(http::field::content_type, "application/json");
-        response.body() = state->m_settings.m_malformed_body(ec.message());
-        response.prepare_payload();
-        co_await http::async_write(stream, response, asio::use_awaitable);
-      }
-      if (ec) break;
+      std::string problem;
+      if (malformed)
+        problem = ec.message();
+      else if (!ec)
+        problem = FindAmbiguity(parser);
+      if (!problem.empty()) co_await Refuse(state->m_settings, stream, problem);
+      if (ec || !problem.empty()) break;
       const auto exchange = std::make_shared<BeastExchange>(
           stream, buffer, parser, state->m_settings.m_body_timeout, state->m_draining);
       co_await state->m_handler(exchange);
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -48,6 +48,7 @@
     dispatcher->Tick(now, out);
     Run(std::move(out), now);
   }
+  OpenOwnedServices(now);
   UpdateWatching();
 }
 
@@ -319,6 +320,16 @@
   }
 }
 
+void NodeReducer::OpenOwnedServices(Instant now) {
+  const std::int64_t members = m_membership.CandidatesVersion();
+  if (!m_table || (m_opened_members == members && m_opened_revision == Revision())) return;
+  m_opened_members = members;
+  m_opened_revision = Revision();
+  for (const auto& [service, object] : m_table->Set().m_services) {
+    if (m_ownership.Owner(service) == m_settings.m_self.m_node) DispatcherOf(service, now);
+  }
+}
+
 void NodeReducer::UpdateWatching() {
   if (m_watchers_version == m_membership.CandidatesVersion()) return;
   m_watchers_version = m_membership.CandidatesVersion();
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -90,6 +90,9 @@
   void SettleClaim(const std::string& request_id, bool delivered, std::int64_t code, Instant now);
   void CollectClaims(Instant now);
   void CollectMembership();
+  /// Opens the dispatchers of services that this node owns, so that operators see them before the first
+  /// request.
+  void OpenOwnedServices(Instant now);
   void UpdateWatching();
   void ApplyLeaving(Instant now);
   void CheckShutdown(Instant now);
@@ -107,6 +110,8 @@
   std::map<std::string, DispatchRequest> m_relayed;           ///< Requests passed on to their owner.
   std::int64_t m_store_operations = 0;
   bool m_watching = false;
+  std::int64_t m_opened_members = -1;    ///< Version of the members for which owned services were opened.
+  std::int64_t m_opened_revision = 0;    ///< Revision for which they were opened.
   std::int64_t m_watchers_version = -1;  ///< Version of the members that the watchers were chosen from.
   bool m_leaving = false;
   bool m_shutdown_reported = false;
