--- a/fescueramp/dispatch/class_share.cc
+++ b/fescueramp/dispatch/class_share.cc
@@ -6,7 +6,7 @@
 namespace fescueramp {
 namespace {
 
-constexpr double kMargin = 0.5;    ///< Standard deviations of the offered load kept free.
+constexpr double kMargin = 1.0;    ///< Standard deviations of the offered load kept free.
 constexpr double kMuchLonger = 4;  ///< Ratio of service times from which slots are reserved.
 constexpr double kIdleRate = 0.2;  ///< Requests a second below which nothing is reserved.
 
