Take the slots of removed endpoints along, and keep callers' keys from endpoints

Cause, found by reading: endpoints that leave the pool while idle were erased before their slots were taken from the total, so bounds and expected waits counted slots that were gone; the new test showed 8 slots instead of 4. Change: refresh before erasing; whole names; the account's name instead of the key; back-off to 16 s.

Figures: EndpointThatLeavesThePoolTakesItsSlotsAlong: 8 slots before, 4 after.

--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -196,6 +196,7 @@
   const auto deadline =
       std::chrono::duration_cast<std::chrono::milliseconds>(effect.m_deadline - m_context.m_clock->Now());
   head.m_headers.push_back({"Fescue-Request-Id", call->m_request.m_request_id});
+  head.m_headers.push_back({"Fescue-Account", call->m_request.m_account});
   head.m_headers.push_back({"Fescue-Attempt", std::to_string(effect.m_attempt)});
   head.m_headers.push_back({"Fescue-Deadline-Ms", std::to_string(deadline.count())});
   co_await connection.SendHead(std::move(head), TimeLeft(effect));
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -1,5 +1,6 @@
 #include "fescueramp/daemon/entry_handler.h"
 
+#include <boost/algorithm/string.hpp>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <iomanip>
@@ -12,22 +13,27 @@
 namespace {
 
 constexpr std::size_t kMaxHeldAnswer = 256 * 1024;  ///< Bytes of an answer held until it is whole.
+constexpr std::string_view kApiKeyField = "x-api-key";
 constexpr Duration kDeadlineGrace =
     std::chrono::milliseconds(500);  ///< Time for the dispatcher's own last answer.
 
 RequestHead CleanHead(const RequestHead& head) {
   RequestHead clean{head.m_method, head.m_target, {}, head.m_content_length};
   // Fields that the caller's own Connection field names are hop-by-hop too.
-  const std::string named = ToLower(FindHeader(head.m_headers, "connection"));
+  std::vector<std::string> named;
+  const std::string connection = ToLower(FindHeader(head.m_headers, "connection"));
+  boost::algorithm::split(named, connection, [](char c) { return c == ',' || c == ' '; });
   for (const auto& header : head.m_headers) {
-    const bool is_named = !named.empty() && named.find(ToLower(header.m_name)) != std::string::npos;
-    if (!IsStrippedHeader(header.m_name) && !is_named) clean.m_headers.push_back(header);
+    const std::string name = ToLower(header.m_name);
+    const bool is_named = std::find(named.begin(), named.end(), name) != named.end();
+    // The key is the caller's secret; the endpoint gets the account's name instead.
+    if (!IsStrippedHeader(name) && !is_named && name != kApiKeyField) clean.m_headers.push_back(header);
   }
   return clean;
 }
 
 std::string KeyHash(const RequestHead& head) {
-  std::string_view key = FindHeader(head.m_headers, "x-api-key");
+  std::string_view key = FindHeader(head.m_headers, kApiKeyField);
   return key.empty() ? std::string() : Sha256Hex(key);
 }
 
--- a/fescueramp/daemon/shell.cc
+++ b/fescueramp/daemon/shell.cc
@@ -15,7 +15,8 @@
 
 constexpr auto kTickPeriod = std::chrono::milliseconds(20);
 constexpr auto kIdleTickPeriod = std::chrono::milliseconds(100);
-constexpr auto kFirstLoadRetry = std::chrono::seconds(2);
+constexpr auto kFirstLoadRetry = std::chrono::milliseconds(500);
+constexpr auto kLongestLoadRetry = std::chrono::seconds(16);
 constexpr auto kIdleConnectionPatience = std::chrono::seconds(3);
 constexpr auto kLeaveNotice = std::chrono::milliseconds(300);  ///< Time for the announced leave to spread.
 
@@ -119,9 +120,13 @@
 
 asio::awaitable<void> Shell::FirstLoad() {
   // Other nodes are asked through gossip; the store is asked as well until one of them has answered.
+  std::chrono::milliseconds wait = kFirstLoadRetry;
   while (m_reducer.Revision() == 0) {
     co_await m_config->LoadFromStore();
-    if (m_reducer.Revision() == 0) co_await Sleep(kFirstLoadRetry);
+    if (m_reducer.Revision() > 0) break;
+    // Ever more rarely: a fleet without a configuration must not load the store.
+    co_await Sleep(wait);
+    wait = std::min<std::chrono::milliseconds>(wait * 2, kLongestLoadRetry);
   }
 }
 
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -26,10 +26,10 @@
     state.m_endpoint = set.m_endpoints.at(name);
     state.m_total = pool.m_slots;
   }
-  // Endpoints that left the pool stay known until their last request ends.
+  // Endpoints that left the pool have no slots any more, and stay known until their last request ends.
+  Refresh(now);
   std::erase_if(m_slots,
                 [&](const auto& item) { return !slots.contains(item.first) && item.second.m_busy == 0; });
-  Refresh(now);
 }
 
 void EndpointTable::Refresh(Instant now) {
--- a/unit_tests/dispatch_harness.cc
+++ b/unit_tests/dispatch_harness.cc
@@ -61,6 +61,12 @@
   Apply(std::move(out));
 }
 
+void DispatchHarness::Reconfigure(int endpoints) {
+  DispatchEffects out;
+  m_dispatcher->Configure(SmallTable(endpoints, m_slots), out, m_clock.Now());
+  Apply(std::move(out));
+}
+
 void DispatchHarness::Pause(Duration span) {
   m_clock.Advance(span);
   m_dispatcher->NotePause(m_clock.Now());
--- a/unit_tests/dispatch_harness.h
+++ b/unit_tests/dispatch_harness.h
@@ -29,6 +29,9 @@
   void Cancel(const std::string& request_id);
   void Advance(Duration span);
 
+  /// Publishes a set with another number of endpoints.
+  void Reconfigure(int endpoints);
+
   /// Lets time pass without the node running.
   void Pause(Duration span);
   void Leave(const std::string& endpoint, bool leaving = true);
--- a/unit_tests/dispatch_test.cc
+++ b/unit_tests/dispatch_test.cc
@@ -208,6 +208,19 @@
   CheckNoBreaches(harness);
 }
 
+BOOST_AUTO_TEST_CASE(EndpointThatLeavesThePoolTakesItsSlotsAlong) {
+  DispatchHarness harness(4, 2);
+  const std::string running = harness.Send("short");
+  harness.Reconfigure(2);
+  BOOST_TEST(harness.Target().Load(harness.Now()).m_slots == 4);
+  harness.End(running);
+  for (int i = 0; i < 6; ++i) harness.Send("short");
+  BOOST_TEST(harness.AllRunning().size() == 4U);
+  for (const auto& [id, attempt] : harness.AllRunning()) {
+    BOOST_TEST((attempt.m_endpoint == "e0" || attempt.m_endpoint == "e1"));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(CrashingRequestRunsAloneAndIsThenQuarantined) {
   DispatchHarness harness(4, 2);
   const std::string innocent = harness.Send("short");
