--- a/fescueramp/daemon/admin_api.cc
+++ b/fescueramp/daemon/admin_api.cc
@@ -6,6 +6,7 @@
 
 #include "fescueramp/daemon/wire.h"
 #include "fescueramp/journal/explain.h"
+#include "fescueramp/journal/receipt.h"
 
 namespace fescueramp {
 namespace {
@@ -194,6 +195,7 @@
   if (question == "status") return json::serialize(ToJson(Status()));
   if (question.starts_with("journal/"))
     return json::serialize(ToJson(m_context.m_journal->Find(rest("journal/"))));
+  if (question.starts_with("receipt/")) return m_context.m_journal->FindReceipt(rest("receipt/"));
   if (question.starts_with("service/")) return json::serialize(ToJson(StatusOf(rest("service/"))));
   return std::nullopt;
 }
@@ -253,21 +255,23 @@
 
 asio::awaitable<std::vector<DecisionRecord>> AdminApi::FindRecords(std::string request_id) {
   const auto members = m_context.m_reducer->Members().Members();
-  // The entry host's name is the first part of the id; it is asked first.
-  const auto entry = members.find(request_id.substr(0, request_id.rfind('-')));
-  std::vector<Member> order;
-  if (entry != members.end()) order.push_back(entry->second);
-  for (const auto& [name, member] : members) {
-    if (entry == members.end() || name != entry->first) order.push_back(member);
+  // The entry host's name is the first part of the id; its receipt names the dispatcher.
+  std::optional<Receipt> receipt;
+  if (const auto entry = members.find(request_id.substr(0, request_id.rfind('-'))); entry != members.end()) {
+    const auto text = co_await Ask(entry->second, "receipt/" + request_id);
+    if (text) receipt = VerifyReceipt(*text, m_context.m_settings->m_receipt_keys);
   }
-  for (const auto& member : order) {
+  for (const auto& [name, member] : members) {
+    if (receipt && name != receipt->m_dispatcher) continue;
     if (member.m_state == MemberState::kDead || member.m_state == MemberState::kLeft) continue;
     const auto text = co_await Ask(member, "journal/" + request_id);
     if (!text) continue;
     auto records = FromJson<std::vector<DecisionRecord>>(ParseJson(*text));
     if (!records.empty()) co_return records;
   }
-  co_return std::vector<DecisionRecord>();
+  std::vector<DecisionRecord> records;
+  if (receipt) records.push_back(RecordFromReceipt(*receipt));
+  co_return records;
 }
 
 asio::awaitable<AdminApi::Reply> AdminApi::Explain(Target target) {
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -4,6 +4,7 @@
 #include <boost/asio/detached.hpp>
 
 #include "fescueramp/daemon/wire.h"
+#include "fescueramp/journal/receipt.h"
 
 namespace fescueramp {
 namespace {
@@ -90,10 +91,7 @@
       head.m_code = finish->m_code;
       head.m_retry_after_ms = finish->m_retry_after_ms;
       head.m_recorded_status = finish->m_recorded_status;
-      if (m_context.m_record_decisions) {
-        head.m_record = json::serialize(ToJson(finish->m_record));
-        m_context.m_journal->Add(finish->m_record);
-      }
+      head.m_receipt = Record(finish->m_record);
       SendAnswerHead(*call, std::move(head));
       call->m_stream->Finish();
       co_return;
@@ -104,8 +102,14 @@
   }
 }
 
+std::string DispatchHandler::Record(const DecisionRecord& record) {
+  if (!m_context.m_record_decisions) return {};
+  m_context.m_journal->Add(record);
+  return MakeReceipt(record, m_context.m_receipt_keys->front());
+}
+
 void DispatchHandler::SendAnswerHead(Call& call, AnswerHead head) {
-  if (head.m_record.empty()) head.m_record = call.m_record;
+  if (head.m_receipt.empty()) head.m_receipt = call.m_receipt;
   call.m_stream->SendHeaders({{":status", "200"}, wire::JsonField(wire::kAnswerField, head)});
 }
 
@@ -123,10 +127,7 @@
 asio::awaitable<AttemptResult> DispatchHandler::RunAttempt(std::shared_ptr<Call> call, StartAttempt effect) {
   AttemptResult result{
       effect.m_request_id, effect.m_attempt, AttemptOutcome::kAnswered, 0, {}, true, false, false};
-  if (m_context.m_record_decisions) {
-    call->m_record = json::serialize(ToJson(effect.m_record));
-    m_context.m_journal->Add(effect.m_record);
-  }
+  call->m_receipt = Record(effect.m_record);
   if (effect.m_attempt == 1) {
     m_context.m_metrics->AddQueueWait(effect.m_record.m_class_name,
                                       effect.m_record.m_decided - effect.m_record.m_arrival);
--- a/fescueramp/daemon/dispatch_handler.h
+++ b/fescueramp/daemon/dispatch_handler.h
@@ -30,7 +30,8 @@
     NodeMetrics* m_metrics = nullptr;
     Journal* m_journal = nullptr;
     const std::vector<std::string>* m_link_keys = nullptr;
-    bool m_record_decisions = true;  ///< Whether answers carry their decision record.
+    const std::vector<std::string>* m_receipt_keys = nullptr;
+    bool m_record_decisions = true;  ///< Whether decisions are kept and answers carry receipts.
   };
 
   explicit DispatchHandler(Context context) : m_context(std::move(context)) {}
@@ -67,7 +68,7 @@
     std::string m_answer_body;
     bool m_answer_started = false;
     bool m_answer_whole = false;
-    std::string m_record;
+    std::string m_receipt;
   };
 
   template <typename T>
@@ -81,6 +82,8 @@
                                    AttemptResult& result);
   std::chrono::milliseconds TimeLeft(const StartAttempt& effect) const;
   asio::awaitable<void> Deliver(std::shared_ptr<Call> call);
+  /// Keeps a decision and returns its receipt.
+  std::string Record(const DecisionRecord& record);
   void SendAnswerHead(Call& call, AnswerHead head);
   asio::awaitable<bool> Relay(std::shared_ptr<Call> call, RelayRequest effect);
   static asio::awaitable<void> RelayBody(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> to);
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -7,7 +7,6 @@
 #include <sstream>
 
 #include "fescueramp/daemon/wire.h"
-#include "fescueramp/journal/receipt.h"
 
 namespace fescueramp {
 namespace {
@@ -261,14 +260,9 @@
   }
   headers.push_back({"Fescue-Request-Id", call.m_id});
   headers.push_back({"Fescue-Code", std::to_string(head.m_code)});
-  if (head.m_record.empty()) return headers;
-  try {
-    auto record = FromJson<DecisionRecord>(ParseJson(head.m_record));
-    headers.push_back({"Fescue-Receipt", MakeReceipt(record, m_context.m_receipt_keys->front())});
-    m_context.m_journal->Add(std::move(record));
-  } catch (const Error&) {
-    // An answer without a readable record is still the caller's answer.
-    m_context.m_metrics->AddAnswer("RECORD_UNREADABLE");
+  if (!head.m_receipt.empty()) {
+    headers.push_back({"Fescue-Receipt", head.m_receipt});
+    m_context.m_journal->AddReceipt(call.m_id, head.m_receipt);
   }
   return headers;
 }
--- a/fescueramp/daemon/entry_handler.h
+++ b/fescueramp/daemon/entry_handler.h
@@ -31,7 +31,6 @@
     Journal* m_journal = nullptr;
     std::string m_node;
     const std::vector<std::string>* m_link_keys = nullptr;
-    const std::vector<std::string>* m_receipt_keys = nullptr;
   };
 
   explicit EntryHandler(Context context);
--- a/fescueramp/daemon/settings.cc
+++ b/fescueramp/daemon/settings.cc
@@ -85,6 +85,7 @@
   }
   CheckNumber("claim_groups", settings.m_claim_groups, 1, 4096, mistakes);
   CheckNumber("claim_window_s", settings.m_claim_window_s, kMinClaimWindow, 864'000, mistakes);
+  CheckNumber("claim_batch_ms", settings.m_claim_batch_ms, 1, 1000, mistakes);
   CheckNumber("journal_records", settings.m_journal_records, 0, 10'000'000, mistakes);
   CheckNumber("shutdown_grace_s", settings.m_shutdown_grace_s, 1, 86'400, mistakes);
   CheckKeys("link_keys", settings.m_link_keys, mistakes);
@@ -136,6 +137,7 @@
   node.m_policy = settings.m_policy;
   node.m_claim_groups = settings.m_claim_groups;
   node.m_claim_window_s = settings.m_claim_window_s;
+  node.m_claim_batch_ms = settings.m_claim_batch_ms;
   node.m_random_seed =
       static_cast<std::int64_t>(Hash64(settings.m_node, static_cast<std::uint64_t>(incarnation)) >> 33);
   return node;
--- a/fescueramp/daemon/settings.h
+++ b/fescueramp/daemon/settings.h
@@ -46,6 +46,7 @@
   PolicyKind m_policy = PolicyKind::kFair;
   std::int64_t m_claim_groups = 64;       ///< The same on every node.
   std::int64_t m_claim_window_s = 86400;  ///< Time for which idempotency keys are remembered, seconds.
+  std::int64_t m_claim_batch_ms = 20;     ///< Shortest time between two writes of one claim log, ms.
   std::int64_t m_journal_records = 8192;  ///< Decision records kept in memory.
   std::int64_t m_shutdown_grace_s = 60;   ///< Longest wait for requests in flight, seconds.
   std::string m_trace_file;               ///< File for the event trace; empty for none.
@@ -54,7 +55,7 @@
                       (m_node, m_region, m_zone, m_address, m_caller_port, m_link_port, m_gossip_port,
                        m_admin_port, m_advertised_link_port, m_advertised_gossip_port, m_platform, m_seeds,
                        m_link_keys, m_receipt_keys, m_operators, m_policy, m_claim_groups, m_claim_window_s,
-                       m_journal_records, m_shutdown_grace_s, m_trace_file))
+                       m_claim_batch_ms, m_journal_records, m_shutdown_grace_s, m_trace_file))
 
 /// Reads settings from JSON with comments. Mistakes are appended to `mistakes`, all at once.
 Settings ParseSettings(std::string_view text, std::vector<Mistake>& mistakes);
--- a/fescueramp/daemon/shell.cc
+++ b/fescueramp/daemon/shell.cc
@@ -50,12 +50,12 @@
     m_trace_file.open(m_settings.m_trace_file, std::ios::trunc);
     m_trace.emplace(m_trace_file, m_node_settings);
   }
-  m_entry = std::make_unique<EntryHandler>(
-      EntryHandler::Context{executor, &m_clock, this, &m_links, &m_metrics, &m_journal, m_settings.m_node,
-                            &m_settings.m_link_keys, &m_settings.m_receipt_keys});
-  m_dispatch = std::make_unique<DispatchHandler>(
-      DispatchHandler::Context{executor, &m_clock, this, &m_links, &m_endpoints, &m_metrics, &m_journal,
-                               &m_settings.m_link_keys, m_settings.m_journal_records > 0});
+  m_entry = std::make_unique<EntryHandler>(EntryHandler::Context{executor, &m_clock, this, &m_links,
+                                                                 &m_metrics, &m_journal, m_settings.m_node,
+                                                                 &m_settings.m_link_keys});
+  m_dispatch = std::make_unique<DispatchHandler>(DispatchHandler::Context{
+      executor, &m_clock, this, &m_links, &m_endpoints, &m_metrics, &m_journal, &m_settings.m_link_keys,
+      &m_settings.m_receipt_keys, m_settings.m_journal_records > 0});
   m_config = std::make_unique<ConfigService>(executor, m_clock, *this, m_store, m_links,
                                              m_settings.m_link_keys, [this] { return m_reducer.Revision(); });
   m_gossip = std::make_unique<GossipSocket>(
--- a/fescueramp/journal/journal.cc
+++ b/fescueramp/journal/journal.cc
@@ -32,4 +32,17 @@
   return found == m_records.end() ? std::vector<DecisionRecord>() : found->second;
 }
 
+void Journal::AddReceipt(const std::string& request_id, const std::string& receipt) {
+  if (!m_receipts.emplace(request_id, receipt).second) return;
+  m_receipt_order.push_back(request_id);
+  if (m_receipt_order.size() <= m_capacity) return;
+  m_receipts.erase(m_receipt_order.front());
+  m_receipt_order.pop_front();
+}
+
+std::string Journal::FindReceipt(const std::string& request_id) const {
+  const auto found = m_receipts.find(request_id);
+  return found == m_receipts.end() ? std::string() : found->second;
+}
+
 }  // namespace fescueramp
--- a/fescueramp/journal/receipt.cc
+++ b/fescueramp/journal/receipt.cc
@@ -9,7 +9,7 @@
 namespace {
 
 constexpr std::size_t kCodeDigits = 32;
-constexpr std::size_t kFields = 10;  ///< Version and nine facts.
+constexpr std::size_t kFields = 11;  ///< Version and ten facts.
 
 std::int64_t Micros(Instant instant) { return instant.time_since_epoch().count(); }
 
@@ -23,6 +23,7 @@
                                            std::to_string(record.m_revision),
                                            std::to_string(Micros(record.m_arrival)),
                                            std::to_string(Micros(record.m_decided)),
+                                           record.m_service,
                                            record.m_class_name,
                                            std::string(EnumName(record.m_rule)),
                                            record.m_endpoint};
@@ -48,10 +49,26 @@
   receipt.m_revision = std::stoll(fields[4]);
   receipt.m_arrival = Instant(Duration(std::stoll(fields[5])));
   receipt.m_decided = Instant(Duration(std::stoll(fields[6])));
-  receipt.m_class_name = fields[7];
-  receipt.m_rule = EnumFromName<OrderRule>(fields[8]).value_or(OrderRule::kArrival);
-  receipt.m_endpoint = fields[9];
+  receipt.m_service = fields[7];
+  receipt.m_class_name = fields[8];
+  receipt.m_rule = EnumFromName<OrderRule>(fields[9]).value_or(OrderRule::kArrival);
+  receipt.m_endpoint = fields[10];
   return receipt;
 }
 
+DecisionRecord RecordFromReceipt(const Receipt& receipt) {
+  DecisionRecord record;
+  record.m_request_id = receipt.m_request_id;
+  record.m_dispatcher = receipt.m_dispatcher;
+  record.m_sequence = receipt.m_sequence;
+  record.m_revision = receipt.m_revision;
+  record.m_arrival = receipt.m_arrival;
+  record.m_decided = receipt.m_decided;
+  record.m_service = receipt.m_service;
+  record.m_class_name = receipt.m_class_name;
+  record.m_rule = receipt.m_rule;
+  record.m_endpoint = receipt.m_endpoint;
+  return record;
+}
+
 }  // namespace fescueramp
--- a/fescueramp/journal/receipt.h
+++ b/fescueramp/journal/receipt.h
@@ -17,6 +17,7 @@
   std::int64_t m_revision = 0;
   Instant m_arrival{};
   Instant m_decided{};
+  std::string m_service;
   std::string m_class_name;
   OrderRule m_rule = OrderRule::kArrival;
   std::string m_endpoint;
@@ -31,4 +32,8 @@
 /// Facts of a receipt made with one of `keys`; nothing when it was altered or made with another key.
 std::optional<Receipt> VerifyReceipt(std::string_view text, const std::vector<std::string>& keys);
 
+/// What a receipt tells of a decision when the dispatcher's own record is gone: no class states, nobody
+/// passed over.
+DecisionRecord RecordFromReceipt(const Receipt& receipt);
+
 }  // namespace fescueramp
--- a/fescueramp/membership/membership.cc
+++ b/fescueramp/membership/membership.cc
@@ -15,7 +15,7 @@
 constexpr std::size_t kMaxErrands = 256;
 constexpr int kMismatchesToSync = 3;
 constexpr Duration kSyncPeriod = std::chrono::seconds(1);
-constexpr Duration kSyncPeriodPerMember = std::chrono::milliseconds(30);
+constexpr Duration kSyncPeriodPerMember = std::chrono::milliseconds(100);
 constexpr std::int64_t kPeriodsPerRevival = 5;  ///< One dead node is probed per this many periods.
 
 bool MayOwn(const Member& member) {
--- a/fescueramp/net/http_types.h
+++ b/fescueramp/net/http_types.h
@@ -32,11 +32,11 @@
   std::int64_t m_code = 0;             ///< Number of a ResultCode.
   std::int64_t m_retry_after_ms = 0;
   std::int64_t m_recorded_status = 0;  ///< For ALREADY_RUN: the status the work ended with.
-  std::string m_record;                ///< Decision record as JSON.
+  std::string m_receipt;               ///< Receipt of the decision; empty when none is made.
 };
 BOOST_DESCRIBE_STRUCT(AnswerHead, (),
                       (m_status, m_headers, m_content_length, m_code, m_retry_after_ms, m_recorded_status,
-                       m_record))
+                       m_receipt))
 
 /// Value of the first field with this lower-case name, or an empty text.
 std::string_view FindHeader(const std::vector<HeaderField>& headers, std::string_view lower_case_name);
--- a/fescueramp/net/link.cc
+++ b/fescueramp/net/link.cc
@@ -21,9 +21,10 @@
 constexpr auto kSilenceLimit = std::chrono::milliseconds(900);  ///< Silence after which the link is given up.
 
 nghttp2_nv MakeField(const std::string& name, const std::string& value) {
+  // Our own fields differ in every request, so the table of known fields gains nothing from them.
+  const std::uint8_t flags = name.starts_with("fescue-") ? NGHTTP2_NV_FLAG_NO_INDEX : NGHTTP2_NV_FLAG_NONE;
   return {reinterpret_cast<std::uint8_t*>(const_cast<char*>(name.data())),
-          reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), name.size(), value.size(),
-          NGHTTP2_NV_FLAG_NONE};
+          reinterpret_cast<std::uint8_t*>(const_cast<char*>(value.data())), name.size(), value.size(), flags};
 }
 
 std::vector<nghttp2_nv> MakeFields(const std::vector<HeaderField>& headers) {
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -129,6 +129,7 @@
   if (!keeper) {
     ClaimSettings settings;
     settings.m_window = std::chrono::seconds(m_settings.m_claim_window_s);
+    settings.m_batch_interval = std::chrono::milliseconds(m_settings.m_claim_batch_ms);
     keeper = std::make_unique<ClaimKeeper>(group, m_settings.m_self.m_node, settings, m_store_operations);
   }
   return *keeper;
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -37,10 +37,11 @@
   std::int64_t m_watchers = 3;       ///< Nodes per region that watch the store.
   std::int64_t m_random_seed = 1;
   std::int64_t m_claim_window_s = 86400;  ///< Time for which idempotency keys are remembered, seconds.
+  std::int64_t m_claim_batch_ms = 20;     ///< Shortest time between two writes of one claim log, ms.
 };
 BOOST_DESCRIBE_STRUCT(NodeSettings, (),
-                      (m_self, m_seeds, m_policy, m_claim_groups, m_watchers, m_random_seed,
-                       m_claim_window_s))
+                      (m_self, m_seeds, m_policy, m_claim_groups, m_watchers, m_random_seed, m_claim_window_s,
+                       m_claim_batch_ms))
 
 /// All decisions of one node: one reducer over all events, with effects as data.
 /// Deterministic: the same settings and events give the same effects.
--- a/unit_tests/explain_test.cc
+++ b/unit_tests/explain_test.cc
@@ -152,6 +152,9 @@
   BOOST_TEST(journal.Size() == 10U);
   BOOST_TEST(journal.Find("n0-3").empty());
   BOOST_TEST(journal.Find("n0-21").size() == 1U);
+  for (int i = 0; i < 25; ++i) journal.AddReceipt("n0-" + std::to_string(i), "receipt");
+  BOOST_TEST(journal.FindReceipt("n0-3").empty());
+  BOOST_TEST(journal.FindReceipt("n0-21") == "receipt");
 }
 
 BOOST_AUTO_TEST_CASE(AlteredReceiptIsRefused) {
@@ -159,6 +162,7 @@
   record.m_request_id = "n0-1";
   record.m_dispatcher = "n3";
   record.m_sequence = 17;
+  record.m_service = "work";
   record.m_class_name = "read";
   record.m_endpoint = "e5";
   const std::string receipt = MakeReceipt(record, "key-one-0123456789");
@@ -166,6 +170,7 @@
   BOOST_REQUIRE(facts.has_value());
   BOOST_TEST(facts->m_sequence == 17);
   BOOST_TEST(facts->m_endpoint == "e5");
+  BOOST_TEST(RecordFromReceipt(*facts).m_service == "work");
   BOOST_TEST(!VerifyReceipt(receipt, {"other-key"}).has_value());
   for (std::size_t i = 0; i < receipt.size(); ++i) {
     std::string altered = receipt;
