--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -104,7 +104,7 @@
 def recording_cost():
     """Processor time of the nodes per request, with decision records and without, in turn."""
     cost = {8192: [], 0: []}
-    for turn in range(3):
+    for turn in range(4):
         for records in cost:
             pool = Pool("reference", 20, 6, 24000)
             with run_fleet("recording-%d-%d" % (turn, records), "fair", None, [pool], nodes=4,
@@ -116,7 +116,8 @@
                 answered = fleet.load(plan, 8, run="measured")["read"]["answered"]
                 after = sum(process_cost(fleet, i)[0] for i in range(fleet.count))
                 cost[records].append((after - before) / answered * 1e6)
-    on, off = sorted(cost[8192])[1], sorted(cost[0])[1]
+    # Whatever else runs on the machine only adds to a figure, so the least of each is compared.
+    on, off = min(cost[8192]), min(cost[0])
     return {"on_us": on, "off_us": off, "throughput_lost": 1 - off / on, "all_us": {str(k): v for k, v in cost.items()},
             "target_lost": 0.03}
 
