Share what handlers, streams and stand-ins had twice

A sleeping coroutine per open request held memory until its deadline even after the answer. Change: HandlerContext, StoreClient::Run, ReadWholeBody, LinkStream::ReadAll, RunUntilSignal, and one timer per open request that ends with it.

--- a/bench/walkthrough.py
+++ b/bench/walkthrough.py
@@ -15,7 +15,7 @@
 # What the output of each block must contain.
 EXPECTED = [
     [r"n0 +alive +az0 +1 +yes +up", r"n3 +alive"],
-    [r"0 OK: Done", r"changed services/disbursement", r"revision 2", r"n0 +alive +az0 +2 +yes", r"n3 +alive +az3 +2 +yes",
+    [r"0 OK: Done", r"changed accounts/caseworkers", r"revision 2", r"n0 +alive +az0 +2 +yes", r"n3 +alive +az3 +2 +yes",
      r" 2  .* operator "],
     [r"service disbursement, dispatcher n\d", r"records-3 +(ejected|canary|ramping).*(fails real work|canary|stay|ramp)"],
     [r"revision 3", r"status-0 +healthy +out of service", r"revision 4"],
--- a/fescueramp/daemon/admin_api.cc
+++ b/fescueramp/daemon/admin_api.cc
@@ -209,10 +209,7 @@
     const std::string auth = wire::AuthCode(m_context.m_settings->m_link_keys.front(), path);
     const auto stream = link->Open(path, {{wire::kAuthField, auth}}, false);
     co_await stream->WaitHeaders();
-    std::string text;
-    for (std::string part = co_await stream->Read(); !part.empty(); part = co_await stream->Read())
-      text += part;
-    co_return text;
+    co_return co_await stream->ReadAll();
   } catch (const LinkError&) {
     co_return std::nullopt;
   }
--- a/fescueramp/daemon/config_service.cc
+++ b/fescueramp/daemon/config_service.cc
@@ -19,12 +19,12 @@
 // GCC 12 destroys an aggregate built inside a co_await expression twice, so these build theirs outside of
 // one.
 asio::awaitable<StoreAnswered> ReadStore(StoreClient& store, const std::string& name) {
-  return store.Get(StoreGet{0, kStorePrefix + name});
+  return store.Run(StoreGet{0, kStorePrefix + name});
 }
 
 asio::awaitable<StoreAnswered> WriteStore(StoreClient& store, const std::string& name, std::int64_t version,
                                           std::string value) {
-  return store.Put(StorePut{0, kStorePrefix + name, version, std::move(value)});
+  return store.Run(StorePut{0, kStorePrefix + name, version, std::move(value)});
 }
 
 /// Reads from the platform's store.
@@ -53,10 +53,7 @@
       const auto stream = m_link->Open(path, {{wire::kAuthField, wire::AuthCode(m_key, path)}}, false);
       co_await stream->WaitHeaders();
       if (FindHeader(stream->Headers(), ":status") != "200") co_return std::nullopt;
-      std::string text;
-      for (std::string part = co_await stream->Read(); !part.empty(); part = co_await stream->Read())
-        text += part;
-      co_return text;
+      co_return co_await stream->ReadAll();
     } catch (const LinkError&) {
       co_return std::nullopt;
     }
--- a/fescueramp/daemon/dispatch_handler.h
+++ b/fescueramp/daemon/dispatch_handler.h
@@ -6,12 +6,7 @@
 #include <string>
 #include <variant>
 
-#include "fescueramp/core/clock.h"
-#include "fescueramp/daemon/event_sink.h"
-#include "fescueramp/daemon/node_metrics.h"
-#include "fescueramp/journal/journal.h"
-#include "fescueramp/net/endpoint_pool.h"
-#include "fescueramp/net/link_pool.h"
+#include "fescueramp/daemon/handler_context.h"
 #include "fescueramp/net/replay_body.h"
 #include "fescueramp/node/effects.h"
 
@@ -20,21 +15,7 @@
 /// Carries requests that other nodes passed here to endpoints, or on to the owner of their service.
 class DispatchHandler {
  public:
-  /// What the handler works with; all outlive it.
-  struct Context {
-    asio::any_io_executor m_executor;
-    const Clock* m_clock = nullptr;
-    EventSink* m_sink = nullptr;
-    LinkPool* m_links = nullptr;
-    EndpointPool* m_endpoints = nullptr;
-    NodeMetrics* m_metrics = nullptr;
-    Journal* m_journal = nullptr;
-    const std::vector<std::string>* m_link_keys = nullptr;
-    const std::vector<std::string>* m_receipt_keys = nullptr;
-    bool m_record_decisions = true;  ///< Whether decisions are kept and answers carry receipts.
-  };
-
-  explicit DispatchHandler(Context context) : m_context(std::move(context)) {}
+  explicit DispatchHandler(HandlerContext context) : m_context(std::move(context)) {}
 
   /// Serves one stream to its end.
   asio::awaitable<void> Handle(std::shared_ptr<LinkStream> stream);
@@ -88,7 +69,7 @@
   asio::awaitable<bool> Relay(std::shared_ptr<Call> call, RelayRequest effect);
   static asio::awaitable<void> RelayBody(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> to);
 
-  Context m_context;
+  HandlerContext m_context;
   std::map<std::string, std::shared_ptr<Call>> m_calls;
 };
 
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -39,9 +39,9 @@
 }  // namespace
 
 EntryHandler::Call::Call(const asio::any_io_executor& executor, std::shared_ptr<HttpExchange> its_exchange)
-    : m_exchange(std::move(its_exchange)), m_commanded(executor) {}
+    : m_exchange(std::move(its_exchange)), m_commanded(executor), m_timer(executor) {}
 
-EntryHandler::EntryHandler(Context context) : m_context(std::move(context)) {
+EntryHandler::EntryHandler(HandlerContext context) : m_context(std::move(context)) {
   // Ids of an earlier run of this node must not come again.
   m_next_id = static_cast<std::uint64_t>(m_context.m_clock->Now().time_since_epoch().count());
 }
@@ -156,19 +156,14 @@
   }
 }
 
-asio::awaitable<void> EntryHandler::Watch(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream,
-                                          Duration left) {
-  // Woken early by nothing: a call that ended leaves a stream that ignores the reset.
-  const std::weak_ptr<Call> weak_call = call;
-  const std::weak_ptr<LinkStream> weak_stream = stream;
-  call.reset();
-  stream.reset();
-  co_await Sleep(left);
-  const auto late_stream = weak_stream.lock();
-  const auto late_call = weak_call.lock();
-  if (!late_stream || !late_call || late_call->m_stream != late_stream) co_return;
-  late_call->m_timed_out = true;
-  late_stream->Reset();
+void EntryHandler::StartTimer(const std::shared_ptr<Call>& call, Duration left) {
+  call->m_timer.expires_after(left);
+  call->m_timer.async_wait([weak = std::weak_ptr(call)](const boost::system::error_code& ec) {
+    const auto late = weak.lock();
+    if (ec || !late || !late->m_stream) return;
+    late->m_timed_out = true;
+    late->m_stream->Reset();
+  });
 }
 
 asio::awaitable<ForwardOutcome> EntryHandler::Forward(std::shared_ptr<Call> call, ForwardRequest effect) {
@@ -191,7 +186,7 @@
   call->m_stream = stream;
   const Duration left = effect.m_request.m_deadline + kDeadlineGrace - m_context.m_clock->Now();
   asio::co_spawn(m_context.m_executor, SendBody(call, stream), asio::detached);
-  asio::co_spawn(m_context.m_executor, Watch(call, stream, left), asio::detached);
+  StartTimer(call, left);
   ForwardOutcome outcome = ForwardOutcome::kLinkLost;
   bool answer_started = false;
   try {
@@ -206,6 +201,7 @@
     call->m_exchange->Abort();
     outcome = ForwardOutcome::kAnswered;
   }
+  call->m_timer.cancel();
   // What is left of the body is not wanted any more.
   stream->Reset();
   call->m_stream.reset();
--- a/fescueramp/daemon/entry_handler.h
+++ b/fescueramp/daemon/entry_handler.h
@@ -7,12 +7,8 @@
 #include <variant>
 #include <vector>
 
-#include "fescueramp/core/clock.h"
-#include "fescueramp/daemon/event_sink.h"
-#include "fescueramp/daemon/node_metrics.h"
-#include "fescueramp/journal/journal.h"
+#include "fescueramp/daemon/handler_context.h"
 #include "fescueramp/net/http_server.h"
-#include "fescueramp/net/link_pool.h"
 #include "fescueramp/net/replay_body.h"
 #include "fescueramp/node/effects.h"
 
@@ -21,19 +17,7 @@
 /// Carries callers' requests to dispatchers and the answers back.
 class EntryHandler {
  public:
-  /// What the handler works with; all outlive it.
-  struct Context {
-    asio::any_io_executor m_executor;
-    const Clock* m_clock = nullptr;
-    EventSink* m_sink = nullptr;
-    LinkPool* m_links = nullptr;
-    NodeMetrics* m_metrics = nullptr;
-    Journal* m_journal = nullptr;
-    std::string m_node;
-    const std::vector<std::string>* m_link_keys = nullptr;
-  };
-
-  explicit EntryHandler(Context context);
+  explicit EntryHandler(HandlerContext context);
 
   /// Serves one request of a caller to its end.
   asio::awaitable<void> Handle(std::shared_ptr<HttpExchange> exchange);
@@ -59,6 +43,7 @@
     std::string m_group = "none";
     std::deque<Command> m_commands;
     Signal m_commanded;
+    asio::steady_timer m_timer;
     std::shared_ptr<LinkStream> m_stream;
     bool m_caller_left = false;
     bool m_timed_out = false;
@@ -71,13 +56,14 @@
   asio::awaitable<ForwardOutcome> RelayAnswer(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream,
                                               bool* answer_started);
   static asio::awaitable<void> SendBody(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream);
-  static asio::awaitable<void> Watch(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> stream,
-                                     Duration left);
+
+  /// Gives the current forward up when the time is over.
+  static void StartTimer(const std::shared_ptr<Call>& call, Duration left);
   asio::awaitable<void> SendResult(std::shared_ptr<Call> call, ResultCode code, std::int64_t retry_after_ms,
                                    std::int64_t recorded_status, std::vector<HeaderField> headers);
   std::vector<HeaderField> AnswerHeaders(const Call& call, const AnswerHead& head);
 
-  Context m_context;
+  HandlerContext m_context;
   std::map<std::string, std::shared_ptr<Call>> m_calls;
   std::uint64_t m_next_id = 0;
 };
--- a/fescueramp/daemon/shell.cc
+++ b/fescueramp/daemon/shell.cc
@@ -3,8 +3,6 @@
 #include <glog/logging.h>
 #include <malloc.h>
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
 #include <csignal>
 
 #include "fescueramp/daemon/wire.h"
@@ -50,12 +48,19 @@
     m_trace_file.open(m_settings.m_trace_file, std::ios::trunc);
     m_trace.emplace(m_trace_file, m_node_settings);
   }
-  m_entry = std::make_unique<EntryHandler>(EntryHandler::Context{executor, &m_clock, this, &m_links,
-                                                                 &m_metrics, &m_journal, m_settings.m_node,
-                                                                 &m_settings.m_link_keys});
-  m_dispatch = std::make_unique<DispatchHandler>(DispatchHandler::Context{
-      executor, &m_clock, this, &m_links, &m_endpoints, &m_metrics, &m_journal, &m_settings.m_link_keys,
-      &m_settings.m_receipt_keys, m_settings.m_journal_records > 0});
+  const HandlerContext context{executor,
+                               &m_clock,
+                               this,
+                               &m_links,
+                               &m_endpoints,
+                               &m_metrics,
+                               &m_journal,
+                               m_settings.m_node,
+                               &m_settings.m_link_keys,
+                               &m_settings.m_receipt_keys,
+                               m_settings.m_journal_records > 0};
+  m_entry = std::make_unique<EntryHandler>(context);
+  m_dispatch = std::make_unique<DispatchHandler>(context);
   m_config = std::make_unique<ConfigService>(executor, m_clock, *this, m_store, m_links,
                                              m_settings.m_link_keys, [this] { return m_reducer.Revision(); });
   m_gossip = std::make_unique<GossipSocket>(
@@ -195,31 +200,10 @@
             << ", incarnation " << effect.m_member.m_incarnation;
 }
 
-void Shell::RunEffect(const StoreGet& effect) {
-  asio::co_spawn(
-      m_io,
-      [](Shell* self, StoreGet request) -> asio::awaitable<void> {
-        self->Post(co_await self->m_store.Get(std::move(request)));
-      }(this, effect),
-      asio::detached);
-}
-
-void Shell::RunEffect(const StorePut& effect) {
-  asio::co_spawn(
-      m_io,
-      [](Shell* self, StorePut request) -> asio::awaitable<void> {
-        self->Post(co_await self->m_store.Put(std::move(request)));
-      }(this, effect),
-      asio::detached);
-}
-
-void Shell::RunEffect(const StoreDelete& effect) {
-  asio::co_spawn(
-      m_io,
-      [](Shell* self, StoreDelete request) -> asio::awaitable<void> {
-        self->Post(co_await self->m_store.Delete(std::move(request)));
-      }(this, effect),
-      asio::detached);
+asio::awaitable<void> Shell::RunStore(StoreEffect operation) {
+  StoreAnswered answer =
+      co_await std::visit([&](auto& request) { return m_store.Run(std::move(request)); }, operation);
+  Post(std::move(answer));
 }
 
 void Shell::RunEffect(const FetchConfiguration& effect) {
--- a/fescueramp/daemon/shell.h
+++ b/fescueramp/daemon/shell.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/signal_set.hpp>
 #include <deque>
@@ -44,14 +46,15 @@
   void RunEffect(const ReportHealth& effect);
   void RunEffect(const SendGossip& effect);
   void RunEffect(const ReportMember& effect);
-  void RunEffect(const StoreGet& effect);
-  void RunEffect(const StorePut& effect);
-  void RunEffect(const StoreDelete& effect);
+  void RunEffect(const StoreGet& effect) { asio::co_spawn(m_io, RunStore(effect), asio::detached); }
+  void RunEffect(const StorePut& effect) { asio::co_spawn(m_io, RunStore(effect), asio::detached); }
+  void RunEffect(const StoreDelete& effect) { asio::co_spawn(m_io, RunStore(effect), asio::detached); }
   void RunEffect(const FetchConfiguration& effect);
   void RunEffect(const ReportConfiguration& effect);
   void RunEffect(const SetWatching& effect) { m_config->SetWatching(effect.m_watching); }
   void RunEffect(const ShutdownComplete& effect);
 
+  asio::awaitable<void> RunStore(StoreEffect operation);
   asio::awaitable<void> TickLoop();
   asio::awaitable<void> FirstLoad();
   asio::awaitable<void> AcceptLinks();
--- a/fescueramp/net/http_server.cc
+++ b/fescueramp/net/http_server.cc
@@ -207,6 +207,13 @@
 
 }  // namespace
 
+asio::awaitable<std::string> ReadWholeBody(HttpExchange& exchange) {
+  std::string body;
+  for (std::string part = co_await exchange.ReadBody(); !part.empty(); part = co_await exchange.ReadBody())
+    body += part;
+  co_return body;
+}
+
 struct HttpServer::State {
   State(const asio::any_io_executor& executor, HttpServerSettings server_settings, Handler server_handler)
       : m_acceptor(executor), m_settings(std::move(server_settings)), m_handler(std::move(server_handler)) {}
--- a/fescueramp/net/http_server.h
+++ b/fescueramp/net/http_server.h
@@ -40,6 +40,9 @@
   virtual void WatchForClose(std::function<void()> handler) = 0;
 };
 
+/// Whole request body, for servers whose clients are trusted to send short ones.
+asio::awaitable<std::string> ReadWholeBody(HttpExchange& exchange);
+
 /// Bounds of a server.
 struct HttpServerSettings {
   std::string m_address = "127.0.0.1";
--- a/fescueramp/net/link.cc
+++ b/fescueramp/net/link.cc
@@ -61,6 +61,12 @@
   co_return data;
 }
 
+asio::awaitable<std::string> LinkStream::ReadAll() {
+  std::string all;
+  for (std::string part = co_await Read(); !part.empty(); part = co_await Read()) all += part;
+  co_return all;
+}
+
 void LinkStream::SendHeaders(const std::vector<HeaderField>& headers) {
   if (m_broken || m_closed) throw LinkError("stream has ended");
   const auto fields = MakeFields(headers);
--- a/fescueramp/net/link.h
+++ b/fescueramp/net/link.h
@@ -39,6 +39,9 @@
   /// Next part of the peer's data; empty at its end. @throws LinkError when the stream ends early.
   asio::awaitable<std::string> Read();
 
+  /// All of the peer's data. @throws LinkError when the stream ends early.
+  asio::awaitable<std::string> ReadAll();
+
   /// Answers a stream that the peer opened; data may follow.
   void SendHeaders(const std::vector<HeaderField>& headers);
 
--- a/fescueramp/platform/store_client.cc
+++ b/fescueramp/platform/store_client.cc
@@ -70,20 +70,20 @@
   co_return answer;
 }
 
-asio::awaitable<StoreAnswered> StoreClient::Get(StoreGet request) {
+asio::awaitable<StoreAnswered> StoreClient::Run(StoreGet request) {
   const HttpAnswer answer =
       co_await Call("GET", "/kv/" + request.m_key, {}, std::chrono::milliseconds(m_settings.m_timeout_ms));
   co_return ToAnswer(request.m_operation, answer);
 }
 
-asio::awaitable<StoreAnswered> StoreClient::Put(StorePut request) {
+asio::awaitable<StoreAnswered> StoreClient::Run(StorePut request) {
   const std::string target = "/kv/" + request.m_key + "?expect=" + std::to_string(request.m_expected_version);
   const HttpAnswer answer = co_await Call("PUT", target, std::move(request.m_value),
                                           std::chrono::milliseconds(m_settings.m_timeout_ms));
   co_return ToAnswer(request.m_operation, answer);
 }
 
-asio::awaitable<StoreAnswered> StoreClient::Delete(StoreDelete request) {
+asio::awaitable<StoreAnswered> StoreClient::Run(StoreDelete request) {
   const HttpAnswer answer =
       co_await Call("DELETE", "/kv/" + request.m_key, {}, std::chrono::milliseconds(m_settings.m_timeout_ms));
   co_return ToAnswer(request.m_operation, answer);
--- a/fescueramp/platform/store_client.h
+++ b/fescueramp/platform/store_client.h
@@ -37,9 +37,9 @@
  public:
   StoreClient(const asio::any_io_executor& executor, const Clock& clock, PlatformSettings settings);
 
-  asio::awaitable<StoreAnswered> Get(StoreGet request);
-  asio::awaitable<StoreAnswered> Put(StorePut request);
-  asio::awaitable<StoreAnswered> Delete(StoreDelete request);
+  asio::awaitable<StoreAnswered> Run(StoreGet request);
+  asio::awaitable<StoreAnswered> Run(StorePut request);
+  asio::awaitable<StoreAnswered> Run(StoreDelete request);
 
   /// Waits until the key's version is above `after`, or for the longest time of a watch.
   asio::awaitable<StoreAnswered> Watch(std::string key, std::int64_t after);
--- a/stand_ins/endpoint_main.cc
+++ b/stand_ins/endpoint_main.cc
@@ -1,15 +1,14 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_real_distribution.hpp>
-#include <csignal>
 #include <deque>
 #include <fstream>
 #include <iostream>
 
 #include "fescueramp/core/json_codec.h"
 #include "fescueramp/net/http_server.h"
+#include "stand_ins/run_until_signal.h"
 
 namespace fescueramp {
 namespace {
@@ -99,11 +98,7 @@
   asio::awaitable<void> Handle(std::shared_ptr<HttpExchange> exchange) {
     const std::int64_t life = m_life;
     m_open.push_back(exchange);
-    std::string body;
-    for (std::string part = co_await exchange->ReadBody(); !part.empty();
-         part = co_await exchange->ReadBody()) {
-      body += part;
-    }
+    std::string body = co_await ReadWholeBody(*exchange);
     if (exchange->Head().m_target == "/health") {
       std::vector<HeaderField> none;
       co_await exchange->Send(200, std::move(none), "well\n");
@@ -245,11 +240,7 @@
   control.m_port = options.m_control_port;
   const HttpServer control_server(io.get_executor(), control,
                                   [&](std::shared_ptr<HttpExchange> exchange) -> asio::awaitable<void> {
-                                    std::string body;
-                                    for (std::string part = co_await exchange->ReadBody(); !part.empty();
-                                         part = co_await exchange->ReadBody()) {
-                                      body += part;
-                                    }
+                                    std::string body = co_await ReadWholeBody(*exchange);
                                     const json::value order = ParseJson(body);
                                     const auto index = FromJson<std::int64_t>(order.at("endpoint"));
                                     const auto faults = FromJson<EndpointFaults>(order.at("faults"));
@@ -260,9 +251,7 @@
                                     std::vector<HeaderField> none;
                                     co_await exchange->Send(200, std::move(none), "done\n");
                                   });
-  asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
-  io.run();
+  RunUntilSignal(io);
   return 0;
 }
 
--- a/stand_ins/link_cutter_main.cc
+++ b/stand_ins/link_cutter_main.cc
@@ -4,14 +4,13 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/asio/ip/udp.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/asio/write.hpp>
-#include <csignal>
 #include <iostream>
 #include <map>
 
 #include "fescueramp/core/json_codec.h"
 #include "fescueramp/net/http_server.h"
+#include "stand_ins/run_until_signal.h"
 
 namespace fescueramp {
 namespace {
@@ -179,9 +178,7 @@
                             std::vector<HeaderField> none;
                             co_await exchange->Send(200, std::move(none), "done\n");
                           });
-  asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
-  io.run();
+  RunUntilSignal(io);
   return 0;
 }
 
--- a/stand_ins/platform_main.cc
+++ b/stand_ins/platform_main.cc
@@ -1,13 +1,12 @@
 #include <CLI/CLI.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/signal_set.hpp>
 #include <boost/url.hpp>
-#include <csignal>
 #include <iostream>
 #include <map>
 
 #include "fescueramp/core/json_codec.h"
 #include "fescueramp/net/http_server.h"
+#include "stand_ins/run_until_signal.h"
 
 namespace fescueramp {
 namespace {
@@ -42,11 +41,7 @@
   explicit Platform(std::int64_t lag_ms) : m_lag(lag_ms) {}
 
   asio::awaitable<void> Handle(std::shared_ptr<HttpExchange> exchange) {
-    std::string body;
-    for (std::string part = co_await exchange->ReadBody(); !part.empty();
-         part = co_await exchange->ReadBody()) {
-      body += part;
-    }
+    std::string body = co_await ReadWholeBody(*exchange);
     const auto url = boost::urls::parse_origin_form(exchange->Head().m_target);
     if (!url) {
       co_await Reply(exchange, 400, {});
@@ -241,9 +236,7 @@
   HttpServer server(io.get_executor(), settings, [&](std::shared_ptr<HttpExchange> exchange) {
     return platform.Handle(std::move(exchange));
   });
-  asio::signal_set signals(io, SIGTERM, SIGINT);
-  signals.async_wait([&](const boost::system::error_code&, int) { io.stop(); });
-  io.run();
+  RunUntilSignal(io);
   return 0;
 }
 
--- a/unit_tests/http_test.cc
+++ b/unit_tests/http_test.cc
@@ -60,11 +60,7 @@
 
   asio::awaitable<void> Echo(std::shared_ptr<HttpExchange> exchange) {
     m_handled.push_back(exchange->Head());
-    std::string body;
-    for (std::string part = co_await exchange->ReadBody(); !part.empty();
-         part = co_await exchange->ReadBody()) {
-      body += part;
-    }
+    std::string body = co_await ReadWholeBody(*exchange);
     std::vector<HeaderField> none;
     co_await exchange->Send(200, std::move(none), std::move(body));
   }
