Judge endpoints over the same window as the others, with thresholds of 14 and 16

Cause: false_ejections found one false ejection in 204,349 answers, for slowness, while a build had the processors. Ruled out: the quantile tracker (rates of slow answers stay at 10%).

Change: thresholds 14 and 16; an endpoint must stand out over the time since its evidence began to grow; a failed canary counts only while the others mostly succeed.

--- a/fescueramp/health/health_monitor.cc
+++ b/fescueramp/health/health_monitor.cc
@@ -11,8 +11,7 @@
 constexpr double kHighestErrorRate = 0.95;
 constexpr double kIllToNormalRatio =
     8;                            ///< An ill endpoint errs at least this many times as often as the others.
-constexpr double kStandsOut = 3;  ///< An ill endpoint is this many times as bad as the median of the others.
-constexpr double kStandsOutOfMean = 2;  ///< And this many times as bad as their mean.
+constexpr double kStandsOut = 3;  ///< An ill endpoint is this many times as bad as the others.
 constexpr Duration kShortestLatency = std::chrono::microseconds(1);
 
 bool IsError(AttemptOutcome outcome) {
@@ -121,6 +120,7 @@
   // When the others fail nearly as often, errors tell nothing about this endpoint.
   if (normal < ill) record.m_errors.Add(error, normal, ill);
   record.m_error_rate.Add(error ? 1 : 0);
+  Count(error, record.m_errors, record.m_error_window, m_all_errors);
 }
 
 bool HealthMonitor::AddLatencyEvidence(EndpointRecord& record, const std::string& work, double latency) {
@@ -133,6 +133,7 @@
     const double ill = std::min(kHighestErrorRate, std::max(m_settings.m_ill_slow_rate, normal * kStandsOut));
     if (normal < ill) record.m_latency.Add(slow, normal, ill);
     record.m_slow_rate.Add(slow ? 1 : 0);
+    Count(slow, record.m_latency, record.m_slow_window, m_all_slow);
   }
   baseline.m_slow.Add(latency);
   baseline.m_mean.Add(latency);
@@ -152,18 +153,35 @@
 
 bool HealthMonitor::CauseIsShared(const EndpointRecord& record) const {
   // What ails most of the others as well lies behind or before them, not in this endpoint.
-  for (const auto rate : {&EndpointRecord::m_error_rate, &EndpointRecord::m_slow_rate}) {
-    const std::vector<double> others = OthersRates(record, rate);
-    if (others.empty()) continue;
-    const double usual = others[others.size() / 2];
-    const double own = (record.*rate).Value();
-    const auto& evidence = rate == &EndpointRecord::m_error_rate ? record.m_errors : record.m_latency;
-    const double mean =
-        std::accumulate(others.begin(), others.end(), 0.0) / static_cast<double>(others.size());
-    const bool stands_out = own >= usual * kStandsOut && own >= mean * kStandsOutOfMean;
-    if (evidence.Sum() >= m_settings.m_threshold && stands_out) return false;
+  const bool failing = record.m_errors.Sum() >= m_settings.m_error_threshold;
+  const bool slow = record.m_latency.Sum() >= m_settings.m_latency_threshold;
+  return !(failing &&
+           StandsOut(record, &EndpointRecord::m_error_rate, record.m_error_window, m_all_errors)) &&
+         !(slow && StandsOut(record, &EndpointRecord::m_slow_rate, record.m_slow_window, m_all_slow));
+}
+
+void HealthMonitor::Count(bool bad, const Cusum& evidence, Window& window, Tally& all) {
+  for (Tally* tally : {&window.m_own, &all}) {
+    ++tally->m_answers;
+    tally->m_bad += bad ? 1 : 0;
   }
-  return true;
+  if (evidence.Sum() > 0) return;
+  window.m_own_before = window.m_own;
+  window.m_all_before = all;
+}
+
+bool HealthMonitor::StandsOut(const EndpointRecord& record, MovingAverage EndpointRecord::*rate,
+                              const Window& window, const Tally& all) const {
+  const std::vector<double> others = OthersRates(record, rate);
+  if (others.empty()) return false;
+  if ((record.*rate).Value() < others[others.size() / 2] * kStandsOut) return false;
+  // Compared over the same time: since this endpoint's evidence began to grow.
+  const auto own_answers = static_cast<double>(window.m_own.m_answers - window.m_own_before.m_answers);
+  const auto own_bad = static_cast<double>(window.m_own.m_bad - window.m_own_before.m_bad);
+  const double others_answers =
+      static_cast<double>(all.m_answers - window.m_all_before.m_answers) - own_answers;
+  const double others_bad = static_cast<double>(all.m_bad - window.m_all_before.m_bad) - own_bad;
+  return own_bad / own_answers >= kStandsOut * (others_bad + 1) / (others_answers + 1);
 }
 
 bool HealthMonitor::MayEject(const EndpointRecord& record) const {
@@ -199,8 +217,8 @@
 }
 
 std::vector<HealthChange> HealthMonitor::Judge(const std::string& name, EndpointRecord& record, Instant now) {
-  const bool failing = record.m_errors.Sum() >= m_settings.m_threshold;
-  const bool slow = record.m_latency.Sum() >= m_settings.m_threshold;
+  const bool failing = record.m_errors.Sum() >= m_settings.m_error_threshold;
+  const bool slow = record.m_latency.Sum() >= m_settings.m_latency_threshold;
   if (!failing && !slow) return {};
   if (CauseIsShared(record)) {
     // The evidence is explained; kept, it would be held against the endpoint once the cause has passed.
@@ -214,7 +232,12 @@
 
 std::vector<HealthChange> HealthMonitor::JudgeCanary(const std::string& name, EndpointRecord& record,
                                                      bool good, Instant now) {
-  if (!good) return {Eject(name, record, "failed a canary request", now)};
+  if (!good) {
+    // When the others fail often too, a failed canary says nothing about this endpoint.
+    const double usual = UsualRate(OthersRates(record, &EndpointRecord::m_error_rate));
+    if (usual * kStandsOut >= 1) return {};
+    return {Eject(name, record, "failed a canary request", now)};
+  }
   if (++record.m_canary_successes < m_settings.m_canary_successes) return {};
   record.m_reason = "canary requests succeeded";
   return {Move(name, record, HealthState::kRamping, now)};
--- a/fescueramp/health/health_monitor.h
+++ b/fescueramp/health/health_monitor.h
@@ -47,7 +47,10 @@
 
 /// Bounds and rates of the health decisions.
 struct HealthSettings {
-  double m_threshold = 13.0;            ///< CUSUM threshold; at least e^13 answers between false alarms.
+  double m_error_threshold =
+      14.0;  ///< CUSUM threshold of errors; at least e^14 answers between false alarms.
+  double m_latency_threshold =
+      16.0;  ///< CUSUM threshold of slow answers; at least e^16 answers between false alarms.
   double m_min_error_rate = 0.01;       ///< Error rate always taken as normal.
   double m_ill_error_rate = 0.4;        ///< Error rate of an ill endpoint.
   double m_slow_quantile = 0.9;         ///< Answers above this quantile of the service count as slow.
@@ -76,6 +79,19 @@
  public:
   static constexpr double kRecentWeight = 0.1;
 
+  /// Answers counted, and how many of them were bad.
+  struct Tally {
+    std::int64_t m_answers = 0;
+    std::int64_t m_bad = 0;
+  };
+
+  /// Counts of one endpoint and of all, now and when the endpoint's evidence was last zero.
+  struct Window {
+    Tally m_own;
+    Tally m_own_before;
+    Tally m_all_before;
+  };
+
   /// Evidence and state of one endpoint.
   struct EndpointRecord {
     std::int64_t m_slots = 0;
@@ -83,6 +99,8 @@
     HealthState m_state = HealthState::kHealthy;
     Cusum m_errors;
     Cusum m_latency;
+    Window m_error_window;
+    Window m_slow_window;
     MovingAverage m_error_rate{kRecentWeight};  ///< Share of recent answers that were errors.
     MovingAverage m_slow_rate{kRecentWeight};   ///< Share of recent answers that were slow.
     std::int64_t m_canary_successes = 0;
@@ -129,6 +147,9 @@
   std::vector<double> OthersRates(const EndpointRecord& except, MovingAverage EndpointRecord::*rate) const;
   std::int64_t SlotsNotEjected() const;
   bool CauseIsShared(const EndpointRecord& record) const;
+  bool StandsOut(const EndpointRecord& record, MovingAverage EndpointRecord::*rate, const Window& window,
+                 const Tally& all) const;
+  static void Count(bool bad, const Cusum& evidence, Window& window, Tally& all);
   bool MayEject(const EndpointRecord& record) const;
   HealthChange Move(const std::string& name, EndpointRecord& record, HealthState state, Instant now);
   HealthChange Eject(const std::string& name, EndpointRecord& record, std::string reason, Instant now);
@@ -138,6 +159,8 @@
 
   HealthSettings m_settings;
   double m_floor = 0.5;
+  Tally m_all_errors;  ///< Of all endpoints.
+  Tally m_all_slow;
   std::map<std::string, EndpointRecord> m_endpoints;
   std::map<std::string, Baseline> m_baselines;
 };
