--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -111,12 +111,17 @@
         settings.update(self.extra)
         return settings
 
-    def start_node(self, index, **changes):
+    def write_settings(self, index, **changes):
+        """Writes the settings of a node and returns the file's path."""
         path = os.path.join(self.work, self.name(index) + ".json")
         settings = self.node_settings(index)
         settings.update(changes)
         with open(path, "w") as file:
             json.dump(settings, file)
+        return path
+
+    def start_node(self, index, **changes):
+        path = self.write_settings(index, **changes)
         return self.start(self.name(index), [self.binary("fescued"), "--settings", path])
 
     def start_platform(self):
@@ -204,8 +209,11 @@
         nodes = range(self.count) if nodes is None else nodes
         while time.time() - start < seconds:
             for index in nodes:
-                if index not in times and self.status(index)["revision"] >= revision:
-                    times[index] = time.time() - start
+                try:
+                    if index not in times and self.status(index)["revision"] >= revision:
+                        times[index] = time.time() - start
+                except OSError:
+                    continue  # The node is still starting.
             if len(times) == len(list(nodes)):
                 return times
             time.sleep(0.02)
--- a/bench/fleet_scenarios.py
+++ b/bench/fleet_scenarios.py
@@ -3,11 +3,12 @@
 import json
 import os
 import random
+import signal
 import threading
 import time
 
 import checks
-from fleet import TOKEN, Fleet, Pool, authority_pools, example_objects, http, stream, utility_pools
+from fleet import LINK_KEY, TOKEN, Fleet, Pool, authority_pools, example_objects, http, stream, utility_pools
 from registry import (POLICIES, WORK, ejections, log_time, one_pool_objects, process_cost, run_fleet, scenario,
                       start_published)
 
@@ -95,6 +96,65 @@
     return result
 
 
+@scenario
+def rotate_keys():
+    """Answers lost while the key between nodes is changed on every node, one after another, without a restart."""
+    pool = Pool("dossier", 8, 6, 24000)
+    with run_fleet("rotate", "fair", None, [pool], nodes=4) as fleet:
+        objects = one_pool_objects(pool)
+        start_published(fleet, objects)
+        load = fleet.load([stream("read", 300, "/read/{n}", 20)], 16, background=True)
+        new_key = "example-link-key-0002"
+        for keys in ([LINK_KEY, new_key], [new_key, LINK_KEY], [new_key]):
+            for index in range(fleet.count):
+                fleet.write_settings(index, link_keys=keys)
+                fleet.processes[fleet.name(index)].send_signal(signal.SIGHUP)
+                time.sleep(1)
+        objects["services"]["dossier"]["retry_ratio"] = 0.2
+        _, body = fleet.publish(objects)
+        times = fleet.wait_revision(body["revision"])
+        report = json.loads(load.communicate()[0])["read"]
+        alive = [sum(m["state"] == "alive" for m in fleet.status(i)["members"]) for i in range(fleet.count)]
+        return {"not_answered": report["sent"] - report["answered"], "codes": report["codes"], "alive": alive,
+                "revision_in_force_on": len(times), "target_not_answered": 0}
+
+
+@scenario
+def outage():
+    """Every node replaced, one after another, while the store is away; what is told about filings meanwhile."""
+    pool = Pool("dossier", 8, 6, 24000)
+    with run_fleet("outage", "fair", None, [pool], nodes=4) as fleet:
+        objects = one_pool_objects(pool)
+        start_published(fleet, objects)
+        objects["services"]["dossier"]["retry_ratio"] = 0.2
+        fleet.wait_revision(fleet.publish(objects)[1]["revision"])
+        fleet.platform(faults={"down": True})
+        for index in range(fleet.count):
+            fleet.kill(fleet.name(index))
+            fleet.start_node(index)
+            fleet.wait_revision(2, nodes=[index])
+        revisions = [fleet.status(i)["revision"] for i in range(fleet.count)]
+        path = os.path.join(fleet.work, "outcomes.jsonl")
+        plan = [stream("read", 200, "/read/{n}", 20),
+                stream("file", 20, "/file/{n}", 20, method="POST", keyed=True, body_bytes=100)]
+        away = fleet.load(plan, 5, run="away", outcomes=path)
+        alone_status, _ = http("GET", fleet.admin(0), "/readyz")
+        # A node without store and without peers has nothing to serve from.
+        for index in range(1, fleet.count):
+            fleet.kill(fleet.name(index))
+        fleet.kill(fleet.name(0))
+        fleet.start_node(0)
+        time.sleep(2)
+        lonely_status, _ = http("GET", fleet.admin(0), "/readyz")
+        fleet.platform(faults={})
+        fleet.wait_revision(2, nodes=[0])
+        back = fleet.load(plan, 5, run="back", outcomes=path, targets=[fleet.caller(0)])
+        return {"revisions": revisions, "ready_while_away": alone_status, "ready_without_store_and_peers": lonely_status,
+                "away": {name: r["codes"] for name, r in away.items()},
+                "back": {name: r["codes"] for name, r in back.items()},
+                "doubled": checks.doubled_keys(fleet, [pool]), "false_not_run": checks.false_not_run(fleet, [pool], path)}
+
+
 class Watcher(threading.Thread):
     """Polls every node for revisions that go back and services below their floor."""
 
