--- a/unit_tests/node_test.cc
+++ b/unit_tests/node_test.cc
@@ -105,6 +105,8 @@
   group.Run(seconds(2));
   for (int i = 0; i < 8; ++i) BOOST_TEST(group.Node(i).Revision() == 5);
   group.Load(3, 4, SmallSetText(2, 2));
+  // At once: the others would soon bring the newer one back.
+  BOOST_TEST(group.Node(3).Revision() == 5);
   group.Run(seconds(2));
   for (int i = 0; i < 8; ++i) BOOST_TEST(group.Node(i).Revision() == 5);
 }
