--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -152,20 +152,10 @@
     call->m_cancelled = true;
     call->m_connection->m_connection.Close();
   }
-  const bool timed_out = call->m_connection->m_connection.TimedOut();
   result.m_latency = m_context.m_clock->Now() - started;
   if (failed) {
     result.m_status = 0;
-    if (call->m_cancelled)
-      result.m_outcome = AttemptOutcome::kCancelled;
-    else if (!sent)
-      result.m_outcome = AttemptOutcome::kConnectFailed;
-    else if (timed_out && call->m_connection->m_reused)
-      result.m_outcome = AttemptOutcome::kSilent;
-    else if (timed_out)
-      result.m_outcome = AttemptOutcome::kTimedOut;
-    else
-      result.m_outcome = AttemptOutcome::kBroken;
+    result.m_outcome = FailureOutcome(*call, sent);
   }
   if (result.m_outcome == AttemptOutcome::kSilent || result.m_outcome == AttemptOutcome::kBroken) {
     m_context.m_endpoints->Drop(effect.m_address, port);
@@ -178,6 +168,13 @@
   co_return result;
 }
 
+AttemptOutcome DispatchHandler::FailureOutcome(const Call& call, bool sent) {
+  if (call.m_cancelled) return AttemptOutcome::kCancelled;
+  if (!sent) return AttemptOutcome::kConnectFailed;
+  if (!call.m_connection->m_connection.TimedOut()) return AttemptOutcome::kBroken;
+  return call.m_connection->m_reused ? AttemptOutcome::kSilent : AttemptOutcome::kTimedOut;
+}
+
 std::chrono::milliseconds DispatchHandler::TimeLeft(const StartAttempt& effect) const {
   const Duration left = effect.m_deadline - m_context.m_clock->Now();
   const Duration wait =
@@ -258,7 +255,8 @@
   }
 }
 
-asio::awaitable<bool> DispatchHandler::Relay(std::shared_ptr<Call> call, RelayRequest effect) {
+asio::awaitable<std::shared_ptr<LinkStream>> DispatchHandler::OpenRelay(std::shared_ptr<Call> call,
+                                                                        RelayRequest effect) {
   std::shared_ptr<LinkStream> to;
   try {
     const auto link =
@@ -271,29 +269,36 @@
                      {wire::kAuthField, wire::AuthCode(m_context.m_link_keys->front(), dispatch.m_value)}},
                     true);
   } catch (const LinkError&) {
-    m_context.m_sink->Post(RelayFailed{effect.m_request_id, effect.m_node});
-    co_return false;
+    to = nullptr;
+  }
+  co_return to;
+}
+
+asio::awaitable<void> DispatchHandler::CopyAnswer(std::shared_ptr<Call> call,
+                                                  std::shared_ptr<LinkStream> from) {
+  co_await from->WaitHeaders();
+  const auto answer = wire::FromField<AnswerHead>(from->Headers(), wire::kAnswerField);
+  call->m_answer_started = true;
+  call->m_stream->SendHeaders({{":status", "200"}, wire::JsonField(wire::kAnswerField, answer)});
+  for (std::string part = co_await from->Read(); !part.empty(); part = co_await from->Read()) {
+    co_await call->m_stream->Write(std::move(part));
   }
-  call->m_stream->SetBrokenHandler([to] { to->Reset(); });
-  asio::co_spawn(m_context.m_executor, RelayBody(call, to), asio::detached);
+}
+
+asio::awaitable<bool> DispatchHandler::Relay(std::shared_ptr<Call> call, RelayRequest effect) {
+  const std::shared_ptr<LinkStream> to = co_await OpenRelay(call, effect);
   bool whole = false;
-  bool answer_started = false;
-  try {
-    co_await to->WaitHeaders();
-    answer_started = true;
-    const auto answer = wire::FromField<AnswerHead>(to->Headers(), wire::kAnswerField);
-    call->m_stream->SendHeaders({{":status", "200"}, wire::JsonField(wire::kAnswerField, answer)});
-    while (true) {
-      std::string part = co_await to->Read();
-      if (part.empty()) break;
-      co_await call->m_stream->Write(std::move(part));
+  if (to) {
+    call->m_stream->SetBrokenHandler([to] { to->Reset(); });
+    asio::co_spawn(m_context.m_executor, RelayBody(call, to), asio::detached);
+    try {
+      co_await CopyAnswer(call, to);
+      whole = true;
+    } catch (const std::exception&) {
+      whole = false;
     }
-    whole = true;
-  } catch (const std::exception&) {
-    whole = false;
   }
-  const bool here = !answer_started && call->m_body->Replayable() && !call->m_stream->Broken();
-  if (here) {
+  if (!whole && !call->m_answer_started && call->m_body->Replayable() && !call->m_stream->Broken()) {
     // The owner went away before it answered. What must not repeat is safe here too: its claim is in the log.
     call->m_stream->SetBrokenHandler(
         [sink = m_context.m_sink, id = effect.m_request_id] { sink->Post(DispatchCancelled{id}); });
--- a/fescueramp/daemon/dispatch_handler.h
+++ b/fescueramp/daemon/dispatch_handler.h
@@ -61,11 +61,17 @@
   asio::awaitable<void> SendRequest(std::shared_ptr<Call> call, const StartAttempt& effect);
   asio::awaitable<void> ReadAnswer(std::shared_ptr<Call> call, const StartAttempt& effect,
                                    AttemptResult& result);
+  static AttemptOutcome FailureOutcome(const Call& call, bool sent);
   std::chrono::milliseconds TimeLeft(const StartAttempt& effect) const;
   asio::awaitable<void> Deliver(std::shared_ptr<Call> call);
   /// Keeps a decision and returns its receipt.
   std::string Record(const DecisionRecord& record);
   void SendAnswerHead(Call& call, AnswerHead head);
+  /// Stream to the owner, or null when it can't be reached.
+  asio::awaitable<std::shared_ptr<LinkStream>> OpenRelay(std::shared_ptr<Call> call, RelayRequest effect);
+  asio::awaitable<void> CopyAnswer(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> from);
+
+  /// Serves a request through its owner. False when it is to be served here.
   asio::awaitable<bool> Relay(std::shared_ptr<Call> call, RelayRequest effect);
   static asio::awaitable<void> RelayBody(std::shared_ptr<Call> call, std::shared_ptr<LinkStream> to);
 
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -191,36 +191,39 @@
 void NodeReducer::CollectClaims(Instant now) {
   for (auto& [group, keeper] : m_keepers) {
     keeper->Advance(now);
-    for (const auto& answer : keeper->TakeAnswers()) {
-      const auto claim = m_claims.find(answer.m_request_id);
-      if (claim == m_claims.end()) continue;
-      if (answer.m_verdict == ClaimVerdict::kGranted) {
-        const DispatchRequest request = claim->second.m_request;
-        claim->second.m_granted = true;
-        Dispatcher* dispatcher = claim->second.m_cancelled ? nullptr : DispatcherOf(request.m_service, now);
-        if (!dispatcher) {
-          SettleClaim(request.m_request_id, false, static_cast<std::int64_t>(ResultCode::kNotRun), now);
-          FinishAtDispatcher(request.m_request_id, ResultCode::kNotRun);
-          continue;
-        }
-        m_service_of[request.m_request_id] = request.m_service;
-        DispatchEffects out;
-        dispatcher->Enqueue(request, now, out);
-        Run(std::move(out), now);
-        continue;
-      }
-      m_claims.erase(claim);
-      ResultCode code = ResultCode::kOutcomeUnknown;
-      if (answer.m_verdict == ClaimVerdict::kDone) code = ResultCode::kAlreadyRun;
-      if (answer.m_verdict == ClaimVerdict::kUnavailable) code = ResultCode::kAttemptNotRun;
-      FinishAtDispatcher(answer.m_request_id, code, answer.m_recorded_status);
-    }
+    for (const auto& answer : keeper->TakeAnswers()) ApplyClaim(answer, now);
     for (auto& effect : keeper->TakeEffects()) {
       std::visit([&](auto& item) { m_effects.emplace_back(std::move(item)); }, effect);
     }
   }
 }
 
+void NodeReducer::ApplyClaim(const ClaimAnswer& answer, Instant now) {
+  const auto claim = m_claims.find(answer.m_request_id);
+  if (claim == m_claims.end()) return;
+  if (answer.m_verdict == ClaimVerdict::kGranted) return StartClaimed(claim->second, now);
+  ResultCode code = ResultCode::kOutcomeUnknown;
+  if (answer.m_verdict == ClaimVerdict::kDone) code = ResultCode::kAlreadyRun;
+  if (answer.m_verdict == ClaimVerdict::kUnavailable) code = ResultCode::kAttemptNotRun;
+  m_claims.erase(claim);
+  FinishAtDispatcher(answer.m_request_id, code, answer.m_recorded_status);
+}
+
+void NodeReducer::StartClaimed(HeldClaim& claim, Instant now) {
+  const DispatchRequest request = claim.m_request;
+  claim.m_granted = true;
+  Dispatcher* dispatcher = claim.m_cancelled ? nullptr : DispatcherOf(request.m_service, now);
+  if (!dispatcher) {
+    // Nobody waits for it, or its service is gone: the claim is given back.
+    SettleClaim(request.m_request_id, false, static_cast<std::int64_t>(ResultCode::kNotRun), now);
+    return FinishAtDispatcher(request.m_request_id, ResultCode::kNotRun);
+  }
+  m_service_of[request.m_request_id] = request.m_service;
+  DispatchEffects out;
+  dispatcher->Enqueue(request, now, out);
+  Run(std::move(out), now);
+}
+
 void NodeReducer::On(const GossipReceived& event, Instant now) {
   const GossipMessage& message = event.m_message;
   m_membership.Receive(message, event.m_address, event.m_port, now);
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -90,6 +90,8 @@
   void Run(DispatchEffects effects, Instant now);
   void SettleClaim(const std::string& request_id, bool delivered, std::int64_t code, Instant now);
   void CollectClaims(Instant now);
+  void ApplyClaim(const ClaimAnswer& answer, Instant now);
+  void StartClaimed(HeldClaim& claim, Instant now);
   void CollectMembership();
   /// Opens the dispatchers of services that this node owns, so that operators see them before the first
   /// request.
