--- a/bench/policy_scenarios.py
+++ b/bench/policy_scenarios.py
@@ -6,7 +6,7 @@
 import urllib.request
 
 import checks
-from fleet import READ_TOKEN, Fleet, Pool, http, stream
+from fleet import READ_TOKEN, Pool, http, stream
 from registry import POLICIES, day_time, ejections, one_pool_objects, process_cost, run_fleet, scenario, start_published
 
 
--- a/bench/record_golden.py
+++ b/bench/record_golden.py
@@ -1,11 +1,9 @@
 """Records the golden file of a whole session: one node of two, with reads, filings, an ill endpoint and a drain."""
 
-import json
 import os
 import shutil
 import sys
 import tempfile
-import time
 
 from fleet import ROOT, Fleet, Pool, stream
 from registry import one_pool_objects, start_published
--- a/bench/registry.py
+++ b/bench/registry.py
@@ -2,6 +2,7 @@
 
 import os
 import tempfile
+import time
 
 from fleet import Fleet, http, pool_objects
 
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -19,17 +19,17 @@
 }  // namespace
 
 template <typename T>
-void DispatchHandler::Enqueue(const std::string& request_id, const T& effect) {
-  const auto call = m_calls.find(request_id);
+void DispatchHandler::Enqueue(const T& effect) {
+  const auto call = m_calls.find(effect.m_request_id);
   if (call == m_calls.end()) return;
   call->second->m_commands.emplace_back(effect);
   call->second->m_commanded.Notify();
 }
 
-void DispatchHandler::Run(const StartAttempt& effect) { Enqueue(effect.m_request_id, effect); }
-void DispatchHandler::Run(const FinishRequest& effect) { Enqueue(effect.m_request_id, effect); }
-void DispatchHandler::Run(const DeliverAnswer& effect) { Enqueue(effect.m_request_id, effect); }
-void DispatchHandler::Run(const RelayRequest& effect) { Enqueue(effect.m_request_id, effect); }
+void DispatchHandler::Run(const StartAttempt& effect) { Enqueue(effect); }
+void DispatchHandler::Run(const FinishRequest& effect) { Enqueue(effect); }
+void DispatchHandler::Run(const DeliverAnswer& effect) { Enqueue(effect); }
+void DispatchHandler::Run(const RelayRequest& effect) { Enqueue(effect); }
 
 void DispatchHandler::Run(const CancelAttempt& effect) {
   const auto call = m_calls.find(effect.m_request_id);
--- a/fescueramp/daemon/dispatch_handler.h
+++ b/fescueramp/daemon/dispatch_handler.h
@@ -52,8 +52,9 @@
     std::string m_receipt;
   };
 
+  /// Gives a command to the request's coroutine.
   template <typename T>
-  void Enqueue(const std::string& request_id, const T& effect);
+  void Enqueue(const T& effect);
   asio::awaitable<void> Serve(std::shared_ptr<Call> call);
   asio::awaitable<AttemptResult> RunAttempt(std::shared_ptr<Call> call, StartAttempt effect);
   asio::awaitable<void> Exchange(std::shared_ptr<Call> call, const StartAttempt& effect,
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -52,19 +52,16 @@
   return id.str();
 }
 
-void EntryHandler::Run(const ForwardRequest& effect) {
+template <typename T>
+void EntryHandler::Enqueue(const T& effect) {
   const auto call = m_calls.find(effect.m_request_id);
   if (call == m_calls.end()) return;
   call->second->m_commands.emplace_back(effect);
   call->second->m_commanded.Notify();
 }
 
-void EntryHandler::Run(const RefuseRequest& effect) {
-  const auto call = m_calls.find(effect.m_request_id);
-  if (call == m_calls.end()) return;
-  call->second->m_commands.emplace_back(effect);
-  call->second->m_commanded.Notify();
-}
+void EntryHandler::Run(const ForwardRequest& effect) { Enqueue(effect); }
+void EntryHandler::Run(const RefuseRequest& effect) { Enqueue(effect); }
 
 asio::awaitable<void> EntryHandler::Handle(std::shared_ptr<HttpExchange> exchange) {
   const auto call = std::make_shared<Call>(m_context.m_executor, exchange);
--- a/fescueramp/daemon/entry_handler.h
+++ b/fescueramp/daemon/entry_handler.h
@@ -49,6 +49,10 @@
     bool m_timed_out = false;
   };
 
+  /// Gives a command to the request's coroutine.
+  template <typename T>
+  void Enqueue(const T& effect);
+
   std::string NextId();
   void StartBody(const std::shared_ptr<Call>& call, std::int64_t max_bytes);
   asio::awaitable<void> Serve(std::shared_ptr<Call> call);
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -144,19 +144,12 @@
     const Pending& oldest = m_pending.at(state->m_queue.ByArrival().begin()->second);
     if (now - oldest.m_arrival < std::chrono::milliseconds(state->m_priority.m_starvation_ms)) continue;
     if (auto choice = ChooseIn(*state, now)) {
-      choice->m_rule = OrderRule::kStarvation;
+      choice->m_starved = true;
       return choice;
     }
   }
-  bool first = true;
   for (ClassState* state : classes) {
-    if (state->m_queue.Empty()) continue;
-    if (auto choice = ChooseIn(*state, now)) {
-      if (first && classes.size() > 1 && choice->m_rule == OrderRule::kArrival)
-        choice->m_rule = OrderRule::kPriority;
-      return choice;
-    }
-    first = false;
+    if (auto choice = ChooseIn(*state, now)) return choice;
   }
   return std::nullopt;
 }
@@ -169,10 +162,7 @@
     const EndpointTable::Need need{state.m_name, state.m_priority.m_max_share,
                                    m_suspects.IsSuspect(pending.m_request.m_fingerprint),
                                    pending.m_request.m_repeatable, &pending.m_failed_endpoints};
-    if (auto* slots = m_endpoints.Choose(need, now)) {
-      const bool oldest = state.m_queue.ByArrival().begin()->first == entry.m_arrival_sequence;
-      return Choice{&state, entry, slots, oldest ? OrderRule::kArrival : OrderRule::kFairShare};
-    }
+    if (auto* slots = m_endpoints.Choose(need, now)) return Choice{&state, entry, slots};
     if (++looked_at >= kMaxLookAhead) break;
   }
   return std::nullopt;
@@ -243,7 +233,7 @@
 }
 
 void FairDispatcher::AddPassedOver(const Choice& choice, const Pending& pending, DecisionRecord& record) {
-  record.m_rule = choice.m_rule == OrderRule::kStarvation ? OrderRule::kStarvation : OrderRule::kArrival;
+  record.m_rule = choice.m_starved ? OrderRule::kStarvation : OrderRule::kArrival;
   for (const auto& [name, state] : m_classes) {
     if (state.m_queue.Empty()) continue;
     const auto& [arrival_sequence, request_id] = *state.m_queue.ByArrival().begin();
@@ -256,7 +246,7 @@
 
 OrderRule FairDispatcher::WhyPassedOver(const Choice& choice, const ClassState& other,
                                         const Pending& older) const {
-  if (choice.m_rule == OrderRule::kStarvation) return OrderRule::kStarvation;
+  if (choice.m_starved) return OrderRule::kStarvation;
   if (m_suspects.IsSuspect(older.m_request.m_fingerprint)) return OrderRule::kIsolation;
   if (!older.m_failed_endpoints.empty()) return OrderRule::kRetry;
   if (&other == choice.m_class) return OrderRule::kFairShare;
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -68,12 +68,12 @@
     std::int64_t m_picks_of_others = 0;
   };
 
-  /// Next request, the slot it takes and why.
+  /// Next request and the slot it takes.
   struct Choice {
     ClassState* m_class = nullptr;
     RequestQueue::Entry m_entry;
     EndpointTable::Slots* m_slots = nullptr;
-    OrderRule m_rule = OrderRule::kArrival;
+    bool m_starved = false;  ///< Whether its class got its turn out of order.
   };
 
   ClassState& ClassOf(const std::string& name);
--- a/fescueramp/net/link_pool.cc
+++ b/fescueramp/net/link_pool.cc
@@ -12,21 +12,22 @@
   if (const auto found = m_links.find(key); found != m_links.end() && !found->second->Closed()) {
     co_return found->second;
   }
-  asio::ip::tcp::socket socket(m_executor);
+  // The timer's handler may run after the connect has ended, so it must not refer to this coroutine.
+  const auto socket = std::make_shared<asio::ip::tcp::socket>(m_executor);
   asio::steady_timer timer(m_executor, kConnectTimeout);
-  timer.async_wait([&socket](const boost::system::error_code& ec) {
+  timer.async_wait([socket](const boost::system::error_code& ec) {
     boost::system::error_code ignored;
-    if (!ec) socket.close(ignored);
+    if (!ec) socket->close(ignored);
   });
   boost::system::error_code ec;
   const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address), port);
-  co_await socket.async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
+  co_await socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
   timer.cancel();
-  if (ec || !socket.is_open()) throw LinkError("cannot reach " + key);
+  if (ec || !socket->is_open()) throw LinkError("cannot reach " + key);
   // Another coroutine may have connected meanwhile.
   auto& link = m_links[key];
   if (!link || link->Closed()) {
-    link = std::make_shared<Link>(std::move(socket), false, nullptr);
+    link = std::make_shared<Link>(std::move(*socket), false, nullptr);
     link->Start();
   }
   co_return link;
