Use the field's terms for membership updates, relayed probes and claim logs

EntryDesk is EntryRequests, ClaimKeeper is ClaimLog; news, errands and welcomes of the membership are updates, relayed probes and member lists.

--- a/bench/decision_cost.cc
+++ b/bench/decision_cost.cc
@@ -91,7 +91,7 @@
   GossipMessage message;
   message.m_from = "node-0001";
   for (int i = 0; i < 6; ++i)
-    message.m_news.push_back(
+    message.m_updates.push_back(
         {"node-" + std::to_string(i), MemberState::kAlive, 1, "10.0.0.1", 7001, 7002, "az1", "r1"});
   return MeanMicros(5000, [&](int) { DecodeGossip(EncodeGossip(message, "key"), {"key"}); });
 }
@@ -106,7 +106,7 @@
   result["dispatch_us_2000_endpoints_10000_queued"] = DispatchMicros(2000, 10'000);
   result["rendezvous_us_1400_nodes"] =
       MeanMicros(200, [&](int i) { RendezvousOrder("group/" + std::to_string(i), nodes); });
-  result["gossip_us_6_news"] = GossipMicros();
+  result["gossip_us_6_updates"] = GossipMicros();
   const std::string text = SerializeObjectSet(MakeSet(1000, 5400, 100'000));
   result["set_bytes_100000_accounts"] = text.size();
   ObjectSet set;
--- a/fescueramp/claims/claim_keeper.cc
+++ b/fescueramp/claims/claim_log.cc
@@ -1,4 +1,4 @@
-#include "fescueramp/claims/claim_keeper.h"
+#include "fescueramp/claims/claim_log.h"
 
 #include <algorithm>
 #include <cassert>
@@ -29,22 +29,21 @@
 
 }  // namespace
 
-ClaimKeeper::ClaimKeeper(std::string group, std::string node, ClaimSettings settings,
-                         std::int64_t& operations)
+ClaimLog::ClaimLog(std::string group, std::string node, ClaimSettings settings, std::int64_t& operations)
     : m_group(std::move(group)), m_node(std::move(node)), m_settings(settings), m_operations(operations) {}
 
-std::uint64_t ClaimKeeper::ClaimId(const std::string& request_id) const {
+std::uint64_t ClaimLog::ClaimId(const std::string& request_id) const {
   // A request can reach two dispatchers under one id, so the node is part of the claim's name.
   return Hash64(m_node + "/" + request_id);
 }
 
-std::int64_t ClaimKeeper::ExpiryOf(Instant now) const { return UnixSeconds(now + m_settings.m_window); }
+std::int64_t ClaimLog::ExpiryOf(Instant now) const { return UnixSeconds(now + m_settings.m_window); }
 
-void ClaimKeeper::Answer(const Waiting& claim, ClaimVerdict verdict, std::int64_t status) {
+void ClaimLog::Answer(const Waiting& claim, ClaimVerdict verdict, std::int64_t status) {
   m_answers.push_back({claim.m_request_id, verdict, status});
 }
 
-void ClaimKeeper::Claim(std::uint64_t key, const std::string& request_id, Instant now) {
+void ClaimLog::Claim(std::uint64_t key, const std::string& request_id, Instant now) {
   const auto same_key = [&](const Waiting& other) { return other.m_key == key && !other.m_given_up; };
   const Waiting claim{key, request_id, now, false};
   if (std::any_of(m_waiting.begin(), m_waiting.end(), same_key) ||
@@ -54,18 +53,17 @@
   m_waiting.push_back(claim);
 }
 
-void ClaimKeeper::Complete(std::uint64_t key, const std::string& request_id, std::int64_t status,
-                           Instant now) {
+void ClaimLog::Complete(std::uint64_t key, const std::string& request_id, std::int64_t status, Instant now) {
   m_updates.push_back({key, ClaimId(request_id), ClaimState::kDone, status, ExpiryOf(now)});
   Apply({m_updates.back()});
 }
 
-void ClaimKeeper::Release(std::uint64_t key, const std::string& request_id, Instant now) {
+void ClaimLog::Release(std::uint64_t key, const std::string& request_id, Instant now) {
   m_updates.push_back({key, ClaimId(request_id), ClaimState::kReleased, 0, ExpiryOf(now)});
   Apply({m_updates.back()});
 }
 
-void ClaimKeeper::Apply(const std::vector<ClaimEntry>& entries) {
+void ClaimLog::Apply(const std::vector<ClaimEntry>& entries) {
   for (const auto& entry : entries) {
     auto [known, added] = m_known.try_emplace(entry.m_key, entry);
     if (added) continue;
@@ -76,19 +74,19 @@
   }
 }
 
-void ClaimKeeper::BeginLoad() {
+void ClaimLog::BeginLoad() {
   m_phase = Phase::kReadingHead;
   m_pending_operation = ++m_operations;
   m_effects.emplace_back(StoreGet{m_pending_operation, HeadKey()});
 }
 
-void ClaimKeeper::Unload(Instant retry_at) {
+void ClaimLog::Unload(Instant retry_at) {
   m_phase = Phase::kUnloaded;
   m_pending_operation = 0;
   m_not_before = retry_at;
 }
 
-void ClaimKeeper::OnStoreAnswer(const StoreAnswered& answer, Instant now) {
+void ClaimLog::OnStoreAnswer(const StoreAnswered& answer, Instant now) {
   if (m_pending_operation == 0 || answer.m_operation != m_pending_operation) return;
   m_pending_operation = 0;
   switch (m_phase) {
@@ -105,7 +103,7 @@
   }
 }
 
-void ClaimKeeper::OnHeadRead(const StoreAnswered& answer, Instant now) {
+void ClaimLog::OnHeadRead(const StoreAnswered& answer, Instant now) {
   if (answer.m_status == StoreStatus::kNotFound) {
     m_record = {};
     m_version = 0;
@@ -127,13 +125,13 @@
   m_segments_to_read.empty() ? FinishLoad(now) : ReadNextSegment();
 }
 
-void ClaimKeeper::ReadNextSegment() {
+void ClaimLog::ReadNextSegment() {
   m_phase = Phase::kReadingSegment;
   m_pending_operation = ++m_operations;
   m_effects.emplace_back(StoreGet{m_pending_operation, SegmentKey(m_segments_to_read.back())});
 }
 
-void ClaimKeeper::OnSegmentRead(const StoreAnswered& answer, Instant now) {
+void ClaimLog::OnSegmentRead(const StoreAnswered& answer, Instant now) {
   const auto entries =
       answer.m_status == StoreStatus::kOk ? TryParse<std::vector<ClaimEntry>>(answer.m_value) : std::nullopt;
   if (!entries) return Unload(now + m_settings.m_retry_interval);
@@ -143,7 +141,7 @@
   m_segments_to_read.empty() ? FinishLoad(now) : ReadNextSegment();
 }
 
-void ClaimKeeper::FinishLoad(Instant now) {
+void ClaimLog::FinishLoad(Instant now) {
   m_phase = Phase::kReady;
   m_not_before = now;
   Apply(m_record.m_entries);
@@ -166,7 +164,7 @@
   m_writing_updates.clear();
 }
 
-void ClaimKeeper::ReleaseAbandoned(Instant now) {
+void ClaimLog::ReleaseAbandoned(Instant now) {
   std::erase_if(m_abandoned, [&](const Waiting& claim) {
     const auto known = m_known.find(claim.m_key);
     const bool in_log = known != m_known.end() && known->second.m_claim == ClaimId(claim.m_request_id);
@@ -176,7 +174,7 @@
   });
 }
 
-void ClaimKeeper::OnWritten(const StoreAnswered& answer, Instant now) {
+void ClaimLog::OnWritten(const StoreAnswered& answer, Instant now) {
   if (m_phase == Phase::kSealing) {
     // The segment's name is unique to this write, so a conflict means that it is there already.
     if (answer.m_status == StoreStatus::kUnavailable) return Unload(now + m_settings.m_retry_interval);
@@ -204,7 +202,7 @@
   m_writing_updates.clear();
 }
 
-bool ClaimKeeper::AnswerFromMemory(const Waiting& claim) {
+bool ClaimLog::AnswerFromMemory(const Waiting& claim) {
   const auto known = m_known.find(claim.m_key);
   if (known == m_known.end() || known->second.m_state == ClaimState::kReleased) return false;
   const bool done = known->second.m_state == ClaimState::kDone;
@@ -212,7 +210,7 @@
   return true;
 }
 
-void ClaimKeeper::BeginWrite(Instant now) {
+void ClaimLog::BeginWrite(Instant now) {
   assert(m_writing.empty());
   m_next_record = m_record;
   if (m_record.m_holder != m_node) {
@@ -239,7 +237,7 @@
       StorePut{m_pending_operation, HeadKey(), m_version, json::serialize(ToJson(m_next_record))});
 }
 
-void ClaimKeeper::Seal(Instant now) {
+void ClaimLog::Seal(Instant now) {
   std::int64_t expires = 0;
   for (const auto& entry : m_next_record.m_entries) expires = std::max(expires, entry.m_expires_s);
   m_pending_operation = ++m_operations;
@@ -262,12 +260,12 @@
   m_phase = Phase::kSealing;
 }
 
-void ClaimKeeper::Forget(Instant now) {
+void ClaimLog::Forget(Instant now) {
   const std::int64_t seconds = UnixSeconds(now);
   std::erase_if(m_known, [&](const auto& item) { return item.second.m_expires_s <= seconds; });
 }
 
-void ClaimKeeper::GiveUpOld(Instant now) {
+void ClaimLog::GiveUpOld(Instant now) {
   const auto too_old = [&](const Waiting& claim) { return now - claim.m_asked >= m_settings.m_patience; };
   for (const auto& claim : m_waiting) {
     if (too_old(claim)) Answer(claim, ClaimVerdict::kUnavailable);
@@ -282,7 +280,7 @@
   }
 }
 
-void ClaimKeeper::Advance(Instant now) {
+void ClaimLog::Advance(Instant now) {
   GiveUpOld(now);
   if (m_pending_operation != 0 || now < m_not_before || Idle()) return;
   if (m_phase == Phase::kUnloaded) return BeginLoad();
--- a/fescueramp/claims/claim_keeper.h
+++ b/fescueramp/claims/claim_log.h
@@ -51,11 +51,11 @@
 /// A key is granted only after a compare-and-swap that was based on every earlier claim has taken effect,
 /// so two holders that do not know of one another still never grant the same key. An answer of the store
 /// that was lost is resolved by reading before anything is granted.
-class ClaimKeeper {
+class ClaimLog {
  public:
   /// @param group Group of services whose claims share one log.
   /// @param operations Counter of store operations shared by the node.
-  ClaimKeeper(std::string group, std::string node, ClaimSettings settings, std::int64_t& operations);
+  ClaimLog(std::string group, std::string node, ClaimSettings settings, std::int64_t& operations);
 
   /// Asks for a key on behalf of a request.
   void Claim(std::uint64_t key, const std::string& request_id, Instant now);
@@ -66,7 +66,7 @@
   /// Records that the work of a granted claim did not run and will not.
   void Release(std::uint64_t key, const std::string& request_id, Instant now);
 
-  /// Takes the answer to one of this keeper's operations; others are ignored.
+  /// Takes the answer to one of this log's operations; others are ignored.
   void OnStoreAnswer(const StoreAnswered& answer, Instant now);
 
   /// Starts the next store operation when one is due, and gives up claims that waited too long.
--- a/fescueramp/membership/gossip_codec.cc
+++ b/fescueramp/membership/gossip_codec.cc
@@ -39,14 +39,14 @@
 }  // namespace
 
 std::string EncodeGossip(const GossipMessage& message, std::string_view key) {
-  json::array news;
-  for (const auto& member : message.m_news) news.push_back(MemberToArray(member));
+  json::array updates;
+  for (const auto& member : message.m_updates) updates.push_back(MemberToArray(member));
   json::array body{static_cast<std::int64_t>(message.m_kind),
                    message.m_from,
                    message.m_probe,
                    message.m_target,
                    message.m_revision,
-                   std::move(news),
+                   std::move(updates),
                    message.m_digest};
   if (message.m_leaving_version > 0) {
     body.push_back(message.m_leaving_version);
@@ -75,7 +75,7 @@
     message.m_probe = FromJson<std::int64_t>(body.at(2));
     message.m_target = FromJson<std::string>(body.at(3));
     message.m_revision = FromJson<std::int64_t>(body.at(4));
-    for (const auto& item : body.at(5).as_array()) message.m_news.push_back(MemberFromArray(item));
+    for (const auto& item : body.at(5).as_array()) message.m_updates.push_back(MemberFromArray(item));
     message.m_digest = FromJson<std::int64_t>(body.at(6));
     if (body.size() > 8) {
       message.m_leaving_version = FromJson<std::int64_t>(body.at(7));
--- a/fescueramp/membership/member.h
+++ b/fescueramp/membership/member.h
@@ -38,7 +38,7 @@
   kPing,
   kAck,
   kPingRequest,  ///< Asks the receiver to ping `m_target` on behalf of the sender.
-  kAnnounce,     ///< Carries news only; no answer.
+  kAnnounce,     ///< Carries updates only; no answer.
   kJoin,         ///< Asks for the whole list of members.
 };
 
@@ -55,13 +55,13 @@
   std::int64_t m_probe = 0;     ///< Number of the probe that the message belongs to.
   std::string m_target;         ///< Node that a ping is meant for; for an ack, the node that is alive.
   std::int64_t m_revision = 0;  ///< Configuration revision that the sender has in force.
-  std::vector<Member> m_news;
+  std::vector<Member> m_updates;
   std::vector<std::string> m_leaving_endpoints;  ///< Endpoints that the platform lists as leaving.
   std::int64_t m_leaving_version = 0;            ///< Version of that list.
   std::int64_t m_digest = 0;                     ///< Hash over the live members that the sender knows.
 };
 BOOST_DESCRIBE_STRUCT(GossipMessage, (),
-                      (m_kind, m_from, m_probe, m_target, m_revision, m_news, m_leaving_endpoints,
+                      (m_kind, m_from, m_probe, m_target, m_revision, m_updates, m_leaving_endpoints,
                        m_leaving_version, m_digest))
 
 /// Sends one datagram.
--- a/fescueramp/membership/membership.cc
+++ b/fescueramp/membership/membership.cc
@@ -12,7 +12,7 @@
 constexpr int kSpreadFactor = 3;  ///< News are sent this many times the logarithm of the fleet's size.
 constexpr int kMaxLocalHealth = 4;
 constexpr int kMaxSpread = 60;
-constexpr std::size_t kMaxErrands = 256;
+constexpr std::size_t kMaxRelayedProbes = 256;
 constexpr int kMismatchesToSync = 3;
 constexpr Duration kSyncPeriod = std::chrono::seconds(1);
 constexpr Duration kSyncPeriodPerMember = std::chrono::milliseconds(100);
@@ -70,7 +70,7 @@
   ++m_candidates_version;
 }
 
-void Membership::Spread(const std::string& node) { m_news[node] = 0; }
+void Membership::Spread(const std::string& node) { m_updates[node] = 0; }
 
 GossipMessage Membership::NewMessage(GossipKind kind) {
   GossipMessage message;
@@ -80,22 +80,22 @@
   message.m_digest = m_digest;
   message.m_leaving_version = m_leaving_version;
   message.m_leaving_endpoints = m_leaving_endpoints;
-  // The news that were sent least go first.
+  // The updates that were sent least go first.
   std::vector<std::pair<int, std::string>> order;
-  for (const auto& [node, sent] : m_news) order.emplace_back(sent, node);
+  for (const auto& [node, sent] : m_updates) order.emplace_back(sent, node);
   std::sort(order.begin(), order.end());
-  if (order.size() > static_cast<std::size_t>(m_settings.m_news_per_message)) {
-    order.resize(static_cast<std::size_t>(m_settings.m_news_per_message));
+  if (order.size() > static_cast<std::size_t>(m_settings.m_updates_per_message)) {
+    order.resize(static_cast<std::size_t>(m_settings.m_updates_per_message));
   }
   const double fleet = static_cast<double>(m_members.size());
   const int enough = std::min(kMaxSpread, kSpreadFactor * static_cast<int>(std::ceil(std::log2(fleet + 1))));
   for (const auto& [sent, node] : order) {
     if (const auto member = m_members.find(node); member != m_members.end())
-      message.m_news.push_back(member->second);
+      message.m_updates.push_back(member->second);
     if (sent + 1 >= enough)
-      m_news.erase(node);
+      m_updates.erase(node);
     else
-      ++m_news[node];
+      ++m_updates[node];
   }
   return message;
 }
@@ -116,41 +116,41 @@
   RebuildCandidates();
 }
 
-void Membership::Refute(const Member& news) {
+void Membership::Refute(const Member& update) {
   Member& self = m_members.at(m_self);
-  const bool accurate = news.m_state == self.m_state || news.m_state == MemberState::kAlive;
-  if (accurate || news.m_incarnation < self.m_incarnation) return;
-  self.m_incarnation = news.m_incarnation + 1;
+  const bool accurate = update.m_state == self.m_state || update.m_state == MemberState::kAlive;
+  if (accurate || update.m_incarnation < self.m_incarnation) return;
+  self.m_incarnation = update.m_incarnation + 1;
   UpdateDigest();
   Spread(m_self);
 }
 
-void Membership::Merge(const Member& news, Instant now) {
-  if (news.m_node == m_self) return Refute(news);
-  auto [found, added] = m_members.try_emplace(news.m_node, news);
+void Membership::Merge(const Member& update, Instant now) {
+  if (update.m_node == m_self) return Refute(update);
+  auto [found, added] = m_members.try_emplace(update.m_node, update);
   Member& known = found->second;
   if (added) {
-    m_changed[news.m_node] = now;
-    Spread(news.m_node);
+    m_changed[update.m_node] = now;
+    Spread(update.m_node);
     m_effects.emplace_back(ReportMember{known});
     return RebuildCandidates();
   }
-  const bool newer = news.m_incarnation > known.m_incarnation ||
-                     (news.m_incarnation == known.m_incarnation && news.m_state > known.m_state);
+  const bool newer = update.m_incarnation > known.m_incarnation ||
+                     (update.m_incarnation == known.m_incarnation && update.m_state > known.m_state);
   if (!newer) return;
-  const bool state_changed = news.m_state != known.m_state;
-  known = news;
+  const bool state_changed = update.m_state != known.m_state;
+  known = update;
   UpdateDigest();
   if (state_changed)
-    SetState(known, news.m_state, now);
+    SetState(known, update.m_state, now);
   else
-    Spread(news.m_node);
+    Spread(update.m_node);
 }
 
 void Membership::Receive(const GossipMessage& message, const std::string& address, std::int64_t port,
                          Instant now) {
   if (message.m_from == m_self) return;
-  for (const auto& news : message.m_news) Merge(news, now);
+  for (const auto& update : message.m_updates) Merge(update, now);
   switch (message.m_kind) {
     case GossipKind::kPing: {
       if (message.m_target != m_self && !message.m_target.empty()) return;
@@ -171,41 +171,41 @@
         m_probe.m_number = 0;
         m_local_health = std::max(0, m_local_health - 1);
       }
-      const auto errand = m_errands.find(message.m_probe);
-      if (errand == m_errands.end()) return;
-      if (const auto asker = m_members.find(errand->second.m_for); asker != m_members.end()) {
+      const auto relayed = m_relayed_probes.find(message.m_probe);
+      if (relayed == m_relayed_probes.end()) return;
+      if (const auto asker = m_members.find(relayed->second.m_for); asker != m_members.end()) {
         GossipMessage ack = NewMessage(GossipKind::kAck);
-        ack.m_probe = errand->second.m_their_number;
+        ack.m_probe = relayed->second.m_their_number;
         ack.m_target = message.m_target;
         Send(asker->second, std::move(ack));
       }
-      m_errands.erase(errand);
+      m_relayed_probes.erase(relayed);
       return;
     }
     case GossipKind::kPingRequest: {
       const auto target = m_members.find(message.m_target);
-      if (target == m_members.end() || m_errands.size() >= kMaxErrands) return;
+      if (target == m_members.end() || m_relayed_probes.size() >= kMaxRelayedProbes) return;
       GossipMessage ping = NewMessage(GossipKind::kPing);
       ping.m_probe = m_next_probe++;
       ping.m_target = message.m_target;
-      m_errands[ping.m_probe] = {message.m_from, message.m_probe, now};
+      m_relayed_probes[ping.m_probe] = {message.m_from, message.m_probe, now};
       return Send(target->second, std::move(ping));
     }
     case GossipKind::kJoin:
-      return SendWelcome(address, port);
+      return SendMemberList(address, port);
     case GossipKind::kAnnounce:
       return;
   }
 }
 
-void Membership::SendWelcome(const std::string& address, std::int64_t port) {
+void Membership::SendMemberList(const std::string& address, std::int64_t port) {
   GossipMessage part = NewMessage(GossipKind::kAnnounce);
-  part.m_news.clear();
+  part.m_updates.clear();
   for (const auto& [name, member] : m_members) {
-    part.m_news.push_back(member);
-    if (part.m_news.size() < static_cast<std::size_t>(m_settings.m_members_per_welcome)) continue;
+    part.m_updates.push_back(member);
+    if (part.m_updates.size() < static_cast<std::size_t>(m_settings.m_members_per_list)) continue;
     SendTo(address, port, part);
-    part.m_news.clear();
+    part.m_updates.clear();
   }
   SendTo(address, port, std::move(part));
 }
@@ -292,9 +292,9 @@
   for (const auto& name : forgotten) {
     m_members.erase(name);
     m_changed.erase(name);
-    m_news.erase(name);
+    m_updates.erase(name);
   }
-  std::erase_if(m_errands,
+  std::erase_if(m_relayed_probes,
                 [&](const auto& item) { return now - item.second.m_started > 2 * m_settings.m_period; });
 }
 
@@ -309,10 +309,10 @@
     return;
   }
   if (m_probe.m_number == 0) StartProbe(now);
-  if (++m_periods % kPeriodsPerRevival == 0) ProbeGone();
+  if (++m_periods % kPeriodsPerRevival == 0) ProbeDead();
 }
 
-void Membership::ProbeGone() {
+void Membership::ProbeDead() {
   std::vector<std::string> gone;
   for (const auto& [name, member] : m_members) {
     if (member.m_state == MemberState::kDead) gone.push_back(name);
@@ -320,7 +320,7 @@
   if (gone.empty()) return;
   boost::random::uniform_int_distribution<std::size_t> any(0, gone.size() - 1);
   const std::string& target = gone[any(m_random)];
-  // The ping carries the news of its own death, which a live node refutes.
+  // The ping carries the updates of its own death, which a live node refutes.
   Spread(target);
   GossipMessage ping = NewMessage(GossipKind::kPing);
   ping.m_target = target;
--- a/fescueramp/membership/membership.h
+++ b/fescueramp/membership/membership.h
@@ -16,9 +16,9 @@
   Duration m_ack_timeout = std::chrono::milliseconds(300);  ///< Wait for an ack before others are asked.
   int m_indirect_probes = 3;                                ///< Nodes asked to probe on one's behalf.
   Duration m_min_suspicion = std::chrono::seconds(3);  ///< Time to refute a suspicion, for a small fleet.
-  int m_news_per_message = 6;                          ///< Members carried by one datagram.
-  int m_announce_fanout = 4;                           ///< Nodes told at once of important news.
-  int m_members_per_welcome = 10;                      ///< Members in one datagram of a whole list.
+  int m_updates_per_message = 6;                       ///< Members carried by one datagram.
+  int m_announce_fanout = 4;                           ///< Nodes told at once of important updates.
+  int m_members_per_list = 10;                         ///< Members in one datagram of a whole list.
   Duration m_forget_dead = std::chrono::minutes(10);   ///< Time after which a dead node is forgotten.
 };
 
@@ -51,7 +51,7 @@
   /// Starts probes and judges those without an ack.
   void Tick(Instant now);
 
-  /// Tells some nodes at once, for news that must not wait for the next probe.
+  /// Tells some nodes at once, for updates that must not wait for the next probe.
   void AnnounceNow(Instant now);
 
   /// Announces that this node takes no new work, or that it is gone.
@@ -79,7 +79,7 @@
   };
 
   /// A probe done for another node.
-  struct Errand {
+  struct RelayedProbe {
     std::string m_for;
     std::int64_t m_their_number = 0;
     Instant m_started{};
@@ -88,8 +88,8 @@
   GossipMessage NewMessage(GossipKind kind);
   void Send(const Member& to, GossipMessage message);
   void SendTo(const std::string& address, std::int64_t port, GossipMessage message);
-  void Merge(const Member& news, Instant now);
-  void Refute(const Member& news);
+  void Merge(const Member& update, Instant now);
+  void Refute(const Member& update);
   void Spread(const std::string& node);
   void SetState(Member& member, MemberState state, Instant now);
   void RebuildCandidates();
@@ -101,9 +101,9 @@
   void StartProbe(Instant now);
   void JudgeProbe(Instant now);
   /// Probes a node believed dead, so that two sides of a healed cut find one another.
-  void ProbeGone();
+  void ProbeDead();
   void ExpireSuspects(Instant now);
-  void SendWelcome(const std::string& address, std::int64_t port);
+  void SendMemberList(const std::string& address, std::int64_t port);
   std::vector<std::string> RandomPeers(std::size_t count, const std::string& except);
   Duration SuspicionTime() const;
 
@@ -113,14 +113,14 @@
   boost::random::mt19937 m_random;
   std::map<std::string, Member> m_members;
   std::map<std::string, Instant> m_changed;  ///< Time of the last change of state, by node.
-  std::map<std::string, int> m_news;         ///< Times that news of a node were sent, while they spread.
+  std::map<std::string, int> m_updates;      ///< Times that updates of a node were sent, while they spread.
   std::vector<std::string> m_candidates;
   std::int64_t m_candidates_version = 0;
   std::vector<std::string> m_probe_order;
   std::size_t m_probe_index = 0;
   std::int64_t m_next_probe = 1;
   Probe m_probe;
-  std::map<std::int64_t, Errand> m_errands;  ///< By own probe number.
+  std::map<std::int64_t, RelayedProbe> m_relayed_probes;  ///< By own probe number.
   Instant m_next_period{};
   std::int64_t m_periods = 0;
   int m_local_health = 0;  ///< Missed acks of late; a slow node gives others more time.
--- a/fescueramp/node/entry_desk.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -1,4 +1,4 @@
-#include "fescueramp/node/entry_desk.h"
+#include "fescueramp/node/entry_requests.h"
 
 #include "fescueramp/core/hash.h"
 
@@ -11,12 +11,13 @@
 
 }  // namespace
 
-void EntryDesk::Refuse(const std::string& request_id, ResultCode code, Duration retry_after, Effects& out) {
+void EntryRequests::Refuse(const std::string& request_id, ResultCode code, Duration retry_after,
+                           Effects& out) {
   out.emplace_back(RefuseRequest{request_id, static_cast<std::int64_t>(code), retry_after.count() / 1000});
 }
 
-ResultCode EntryDesk::CheckLimits(const std::string& account, const ObjectSet& set, Instant now,
-                                  Duration& retry_after) {
+ResultCode EntryRequests::CheckLimits(const std::string& account, const ObjectSet& set, Instant now,
+                                      Duration& retry_after) {
   const auto object = set.m_accounts.find(account);
   if (object == set.m_accounts.end() || object->second.m_limit.empty()) return ResultCode::kOk;
   const Limit& limit = set.m_limits.at(object->second.m_limit);
@@ -32,8 +33,8 @@
   return ResultCode::kOk;
 }
 
-void EntryDesk::Receive(const RequestReceived& event, const std::shared_ptr<const RouteTable>& table,
-                        Instant now, Effects& out) {
+void EntryRequests::Receive(const RequestReceived& event, const std::shared_ptr<const RouteTable>& table,
+                            Instant now, Effects& out) {
   const std::string& id = event.m_request_id;
   if (!table) return Refuse(id, ResultCode::kNotReady, kRetrySoon, out);
   const auto match = table->FindRoute(event.m_method, event.m_path);
@@ -77,7 +78,7 @@
   Forward(id, now, out);
 }
 
-void EntryDesk::Forward(const std::string& request_id, Instant now, Effects& out) {
+void EntryRequests::Forward(const std::string& request_id, Instant now, Effects& out) {
   OpenRequest& open = m_open.at(request_id);
   const std::string node = m_ownership.ReachableOwner(open.m_request.m_service, now);
   const auto member = m_membership.Members().find(node);
@@ -94,21 +95,21 @@
                                   open.m_group, open.m_max_body_bytes, std::move(request)});
 }
 
-ResultCode EntryDesk::CodeWithoutAnswer(const OpenRequest& open, Instant now) const {
+ResultCode EntryRequests::CodeWithoutAnswer(const OpenRequest& open, Instant now) const {
   if (!open.m_maybe_ran)
     return open.m_request.m_repeatable ? ResultCode::kNotRun : ResultCode::kAttemptNotRun;
   if (!open.m_request.m_repeatable) return ResultCode::kOutcomeUnknown;
   return now >= open.m_request.m_deadline ? ResultCode::kDeadlineExceeded : ResultCode::kAnswerIncomplete;
 }
 
-void EntryDesk::Close(const std::string& request_id) {
+void EntryRequests::Close(const std::string& request_id) {
   const auto open = m_open.find(request_id);
   const auto account = m_accounts.find(open->second.m_request.m_account);
   --account->second.m_open;
   m_open.erase(open);
 }
 
-void EntryDesk::EndForward(const ForwardEnded& event, Instant now, Effects& out) {
+void EntryRequests::EndForward(const ForwardEnded& event, Instant now, Effects& out) {
   const auto found = m_open.find(event.m_request_id);
   if (found == m_open.end()) return;
   OpenRequest& open = found->second;
--- a/fescueramp/node/entry_desk.h
+++ b/fescueramp/node/entry_requests.h
@@ -15,9 +15,9 @@
 
 /// Holds the requests that callers sent to this node until each has one final answer:
 /// matches route, account and limits, passes them to a dispatcher, and to the next one when that dies.
-class EntryDesk {
+class EntryRequests {
  public:
-  EntryDesk(const Membership& membership, Ownership& ownership)
+  EntryRequests(const Membership& membership, Ownership& ownership)
       : m_membership(membership), m_ownership(ownership) {}
 
   /// Takes a request in; without a configuration it is refused.
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -85,7 +85,7 @@
   const bool claims = !request.m_repeatable && m_settings.m_policy == PolicyKind::kFair;
   if (claims) {
     m_claims[request.m_request_id] = {request, false, false, 0};
-    return KeeperOf(request.m_service).Claim(request.m_claim_key, request.m_request_id, now);
+    return ClaimLogOf(request.m_service).Claim(request.m_claim_key, request.m_request_id, now);
   }
   m_service_of[request.m_request_id] = request.m_service;
   DispatchEffects out;
@@ -123,16 +123,16 @@
   return dispatcher.get();
 }
 
-ClaimKeeper& NodeReducer::KeeperOf(const std::string& service) {
+ClaimLog& NodeReducer::ClaimLogOf(const std::string& service) {
   const std::string group = m_ownership.GroupOf(service);
-  auto& keeper = m_keepers[group];
-  if (!keeper) {
+  auto& claim_log = m_claim_logs[group];
+  if (!claim_log) {
     ClaimSettings settings;
     settings.m_window = std::chrono::seconds(m_settings.m_claim_window_s);
     settings.m_batch_interval = std::chrono::milliseconds(m_settings.m_claim_batch_ms);
-    keeper = std::make_unique<ClaimKeeper>(group, m_settings.m_self.m_node, settings, m_store_operations);
+    claim_log = std::make_unique<ClaimLog>(group, m_settings.m_self.m_node, settings, m_store_operations);
   }
-  return *keeper;
+  return *claim_log;
 }
 
 void NodeReducer::On(const DispatchCancelled& event, Instant now) {
@@ -177,22 +177,22 @@
   const auto claim = m_claims.find(request_id);
   if (claim == m_claims.end()) return;
   const DispatchRequest& request = claim->second.m_request;
-  ClaimKeeper& keeper = KeeperOf(request.m_service);
+  ClaimLog& claim_log = ClaimLogOf(request.m_service);
   const auto result = static_cast<ResultCode>(code);
   if (delivered) {
-    keeper.Complete(request.m_claim_key, request_id, claim->second.m_status, now);
+    claim_log.Complete(request.m_claim_key, request_id, claim->second.m_status, now);
   } else if (result == ResultCode::kNotRun || result == ResultCode::kQuarantined) {
-    keeper.Release(request.m_claim_key, request_id, now);
+    claim_log.Release(request.m_claim_key, request_id, now);
   }
   // Any other end leaves the claim: the work may have run.
   m_claims.erase(claim);
 }
 
 void NodeReducer::CollectClaims(Instant now) {
-  for (auto& [group, keeper] : m_keepers) {
-    keeper->Advance(now);
-    for (const auto& answer : keeper->TakeAnswers()) ApplyClaim(answer, now);
-    for (auto& effect : keeper->TakeEffects()) {
+  for (auto& [group, claim_log] : m_claim_logs) {
+    claim_log->Advance(now);
+    for (const auto& answer : claim_log->TakeAnswers()) ApplyClaim(answer, now);
+    for (auto& effect : claim_log->TakeEffects()) {
       std::visit([&](auto& item) { m_effects.emplace_back(std::move(item)); }, effect);
     }
   }
@@ -240,7 +240,7 @@
 }
 
 void NodeReducer::On(const StoreAnswered& event, Instant now) {
-  for (auto& [group, keeper] : m_keepers) keeper->OnStoreAnswer(event, now);
+  for (auto& [group, claim_log] : m_claim_logs) claim_log->OnStoreAnswer(event, now);
 }
 
 void NodeReducer::On(const ConfigurationLoaded& event, Instant now) {
@@ -310,7 +310,7 @@
   if (!m_leaving || m_shutdown_reported) return;
   const bool idle =
       m_entry.Empty() && m_service_of.empty() && m_claims.empty() &&
-      std::all_of(m_keepers.begin(), m_keepers.end(), [](const auto& k) { return k.second->Idle(); });
+      std::all_of(m_claim_logs.begin(), m_claim_logs.end(), [](const auto& k) { return k.second->Idle(); });
   if (!idle) return;
   m_shutdown_reported = true;
   m_membership.Leave(MemberState::kLeft, now);
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -6,11 +6,11 @@
 #include <unordered_map>
 #include <vector>
 
-#include "fescueramp/claims/claim_keeper.h"
+#include "fescueramp/claims/claim_log.h"
 #include "fescueramp/dispatch/dispatcher.h"
 #include "fescueramp/membership/membership.h"
 #include "fescueramp/node/effects.h"
-#include "fescueramp/node/entry_desk.h"
+#include "fescueramp/node/entry_requests.h"
 #include "fescueramp/node/events.h"
 #include "fescueramp/node/ownership.h"
 #include "fescueramp/routing/route_table.h"
@@ -86,7 +86,7 @@
 
   void Accept(const DispatchRequest& request, Instant now);
   Dispatcher* DispatcherOf(const std::string& service, Instant now);
-  ClaimKeeper& KeeperOf(const std::string& service);
+  ClaimLog& ClaimLogOf(const std::string& service);
   void Run(DispatchEffects effects, Instant now);
   void SettleClaim(const std::string& request_id, bool delivered, std::int64_t code, Instant now);
   void CollectClaims(Instant now);
@@ -104,10 +104,10 @@
   NodeSettings m_settings;
   Membership m_membership;
   Ownership m_ownership;
-  EntryDesk m_entry;
+  EntryRequests m_entry;
   std::shared_ptr<const RouteTable> m_table;
   std::map<std::string, std::unique_ptr<Dispatcher>> m_dispatchers;
-  std::map<std::string, std::unique_ptr<ClaimKeeper>> m_keepers;
+  std::map<std::string, std::unique_ptr<ClaimLog>> m_claim_logs;
   std::map<std::string, HeldClaim> m_claims;                  ///< By request id.
   std::unordered_map<std::string, std::string> m_service_of;  ///< Service of requests at a dispatcher.
   std::map<std::string, DispatchRequest> m_relayed;           ///< Requests passed on to their owner.
--- a/unit_tests/claims_test.cc
+++ b/unit_tests/claims_test.cc
@@ -4,7 +4,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
-#include "fescueramp/claims/claim_keeper.h"
+#include "fescueramp/claims/claim_log.h"
 #include "unit_tests/fake_store.h"
 
 namespace fescueramp {
@@ -12,27 +12,27 @@
 
 using std::chrono::milliseconds;
 
-/// One keeper with the answers it gave.
+/// One claim log with the answers it gave.
 class Holder {
  public:
   Holder(const std::string& node, FakeStore& store, ClaimSettings settings = {})
-      : m_keeper("7", node, settings, m_operations), m_store(store) {}
+      : m_log("7", node, settings, m_operations), m_store(store) {}
 
   void Claim(std::uint64_t key, const std::string& request, Instant now) {
-    m_keeper.Claim(key, request, now);
+    m_log.Claim(key, request, now);
     Collect();
   }
 
   /// Starts operations; they wait in this holder until Exchange.
   void Advance(Instant now) {
-    m_keeper.Advance(now);
+    m_log.Advance(now);
     Collect();
   }
 
   /// Lets the store take what waits and answer it.
   void Exchange(Instant now) {
     for (const auto& effect : std::exchange(m_waiting, {})) {
-      if (const auto answer = m_store.Apply(effect)) m_keeper.OnStoreAnswer(*answer, now);
+      if (const auto answer = m_store.Apply(effect)) m_log.OnStoreAnswer(*answer, now);
       Collect();
     }
   }
@@ -46,19 +46,19 @@
     }
   }
 
-  ClaimKeeper& Keeper() { return m_keeper; }
+  ClaimLog& Log() { return m_log; }
   bool Answered(const std::string& request) const { return m_verdicts.contains(request); }
   ClaimVerdict VerdictOf(const std::string& request) const { return m_verdicts.at(request).m_verdict; }
   const std::map<std::string, ClaimAnswer>& Verdicts() const { return m_verdicts; }
 
  private:
   void Collect() {
-    for (const auto& answer : m_keeper.TakeAnswers()) m_verdicts[answer.m_request_id] = answer;
-    for (const auto& effect : m_keeper.TakeEffects()) m_waiting.push_back(effect);
+    for (const auto& answer : m_log.TakeAnswers()) m_verdicts[answer.m_request_id] = answer;
+    for (const auto& effect : m_log.TakeEffects()) m_waiting.push_back(effect);
   }
 
   std::int64_t m_operations = 0;
-  ClaimKeeper m_keeper;
+  ClaimLog m_log;
   FakeStore& m_store;
   std::vector<StoreEffect> m_waiting;
   std::map<std::string, ClaimAnswer> m_verdicts;
@@ -93,7 +93,7 @@
   Holder first("n0", m_store);
   first.Claim(1, "a", m_now);
   first.Settle(m_now);
-  first.Keeper().Complete(1, "a", 201, m_now);
+  first.Log().Complete(1, "a", 201, m_now);
   first.Settle(m_now);
   Holder second("n1", m_store);
   second.Claim(1, "b", m_now);
@@ -106,7 +106,7 @@
   Holder first("n0", m_store);
   first.Claim(1, "a", m_now);
   first.Settle(m_now);
-  first.Keeper().Release(1, "a", m_now);
+  first.Log().Release(1, "a", m_now);
   first.Settle(m_now);
   Holder second("n1", m_store);
   second.Claim(1, "b", m_now);
@@ -118,7 +118,7 @@
   Holder first("n0", m_store);
   first.Claim(1, "a", m_now);
   first.Settle(m_now);
-  first.Keeper().Release(1, "a", m_now);
+  first.Log().Release(1, "a", m_now);
   first.Claim(1, "b", m_now);
   first.Settle(m_now);
   BOOST_CHECK(first.VerdictOf("b") == ClaimVerdict::kGranted);
@@ -242,7 +242,7 @@
   }
   // 60 s at one key per 2.5 s: some 24 keys, in segments of 4.
   BOOST_TEST(m_store.Keys() <= 12U);
-  BOOST_TEST(holder.Keeper().KnownKeys() <= 40U);
+  BOOST_TEST(holder.Log().KnownKeys() <= 40U);
 }
 
 BOOST_AUTO_TEST_CASE(DamagedLogGrantsNothing) {
@@ -293,10 +293,10 @@
         running[key].insert(request);
         BOOST_TEST(running[key].size() == 1U, "seed " << seed << ": key " << key << " is granted twice");
         if (any(0, 1) == 0) {
-          each->Keeper().Release(key, request, m_now);
+          each->Log().Release(key, request, m_now);
           running[key].erase(request);
         } else if (any(0, 1) == 0) {
-          each->Keeper().Complete(key, request, 200, m_now);
+          each->Log().Complete(key, request, 200, m_now);
         }
       }
     }
--- a/unit_tests/fake_store.h
+++ b/unit_tests/fake_store.h
@@ -4,7 +4,7 @@
 #include <optional>
 #include <string>
 
-#include "fescueramp/claims/claim_keeper.h"
+#include "fescueramp/claims/claim_log.h"
 
 namespace fescueramp {
 
--- a/unit_tests/product_test.cc
+++ b/unit_tests/product_test.cc
@@ -94,7 +94,7 @@
   message.m_probe = 9;
   message.m_target = "n2";
   message.m_revision = 7;
-  message.m_news = {{"n3", MemberState::kLeaving, 5, "10.0.0.1", 1, 2, "az1", "r"}};
+  message.m_updates = {{"n3", MemberState::kLeaving, 5, "10.0.0.1", 1, 2, "az1", "r"}};
   message.m_leaving_endpoints = {"e1"};
   message.m_leaving_version = 3;
   const auto decoded = DecodeGossip(EncodeGossip(message, "key-b"), {"key-a", "key-b"});
@@ -111,7 +111,7 @@
   };
   GossipMessage message;
   message.m_from = "n1";
-  message.m_news = {{"n3", MemberState::kLeaving, 5, "10.0.0.1", 1, 2, "az1", "r"}};
+  message.m_updates = {{"n3", MemberState::kLeaving, 5, "10.0.0.1", 1, 2, "az1", "r"}};
   const std::string good = EncodeGossip(message, "key").substr(32);
   for (int round = 0; round < 500; ++round) {
     std::string bytes = good;
