Notice idle connections that the other side has closed

Change: before an idle connection is used, the client looks whether it has been closed. The new test fails without the look.

--- a/fescueramp/net/endpoint_pool.cc
+++ b/fescueramp/net/endpoint_pool.cc
@@ -14,6 +14,7 @@
   auto& idle = m_idle[{address, port}];
   const auto now = std::chrono::steady_clock::now();
   while (!idle.empty() && now - idle.front()->m_last_used > kMaxIdleTime) idle.pop_front();
+  while (!idle.empty() && !idle.back()->m_connection.StillOpen()) idle.pop_back();
   // The one used last is the likeliest to work.
   if (!idle.empty() && (!fresh || now - idle.back()->m_last_used < kFreshIdleTime)) {
     auto connection = std::move(idle.back());
--- a/fescueramp/net/http_client.cc
+++ b/fescueramp/net/http_client.cc
@@ -1,7 +1,10 @@
 #include "fescueramp/net/http_client.h"
 
+#include <sys/socket.h>
+
 #include <boost/beast/core.hpp>
 #include <boost/beast/http.hpp>
+#include <cerrno>
 #include <optional>
 
 namespace fescueramp {
@@ -185,6 +188,15 @@
   return m_state->m_connected && (!m_state->m_parser || m_state->m_parser->is_done());
 }
 
+bool HttpConnection::StillOpen() const {
+  if (!m_state->m_connected) return false;
+  char byte = 0;
+  const auto socket = m_state->m_stream.socket().native_handle();
+  const ssize_t size = ::recv(socket, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  // Nothing to read is what an open idle connection has; data that nobody asked for makes it unusable.
+  return size < 0 && (errno == EAGAIN || errno == EWOULDBLOCK);
+}
+
 bool HttpConnection::Connected() const { return m_state->m_connected; }
 
 bool HttpConnection::TimedOut() const { return m_state->m_timed_out; }
--- a/fescueramp/net/http_client.h
+++ b/fescueramp/net/http_client.h
@@ -58,6 +58,9 @@
 
   /// Whether the connection can carry another request.
   bool Reusable() const;
+
+  /// Whether the server has not closed the connection while it was idle.
+  bool StillOpen() const;
   bool Connected() const;
 
   /// Whether the last error was a timeout.
--- a/stand_ins/load_main.cc
+++ b/stand_ins/load_main.cc
@@ -221,6 +221,7 @@
     // Servers close connections that were idle for long, so older ones are not used again.
     const auto now = std::chrono::steady_clock::now();
     while (!idle.empty() && now - idle.front().m_since > kMaxIdleTime) idle.pop_front();
+    while (!idle.empty() && !idle.back().m_connection->StillOpen()) idle.pop_back();
     if (!idle.empty()) {
       auto connection = std::move(idle.back().m_connection);
       idle.pop_back();
--- a/unit_tests/http_test.cc
+++ b/unit_tests/http_test.cc
@@ -17,6 +17,9 @@
 
 using tcp = asio::ip::tcp;
 
+/// Target after whose answer the server closes the connection without having said so.
+constexpr const char* kThenClose = "/then-close";
+
 /// A server on loopback that answers every request with its body, and counts them.
 class EchoServer {
  public:
@@ -62,7 +65,9 @@
     m_handled.push_back(exchange->Head());
     std::string body = co_await ReadWholeBody(*exchange);
     std::vector<HeaderField> none;
+    const bool then_close = exchange->Head().m_target == kThenClose;
     co_await exchange->Send(200, std::move(none), std::move(body));
+    if (then_close) exchange->Abort();
   }
 
   asio::awaitable<void> Talk(std::string bytes, std::string& answer) {
@@ -197,6 +202,27 @@
   BOOST_TEST((answer == body));
 }
 
+BOOST_AUTO_TEST_CASE(ConnectionClosedByTheServerIsNoticedWhileIdle) {
+  EchoServer server;
+  bool open_after_answer = false;
+  bool open_after_close = true;
+  const auto exchange = [&]() -> asio::awaitable<void> {
+    HttpConnection connection(server.Io().get_executor(), "127.0.0.1", server.Port());
+    RequestHead head;
+    head.m_method = "GET";
+    head.m_target = "/";
+    co_await connection.Request(head, {}, std::chrono::seconds(60));
+    open_after_answer = connection.StillOpen();
+    head.m_target = kThenClose;
+    co_await connection.Request(head, {}, std::chrono::seconds(60));
+    for (int i = 0; i < 2000 && connection.StillOpen(); ++i) co_await Sleep(std::chrono::milliseconds(1));
+    open_after_close = connection.StillOpen();
+  };
+  server.Await(exchange());
+  BOOST_TEST(open_after_answer);
+  BOOST_TEST(!open_after_close);
+}
+
 BOOST_AUTO_TEST_CASE(HopByHopAndOwnFieldsAreStripped) {
   for (const char* name :
        {"Connection", "keep-alive", "TE", "Upgrade", "Fescue-Request-Id", "FESCUE-anything"}) {
