Tell answers to older work from news of an endpoint, and give sound endpoints work within 1.5 s

The floor broke because only three in four of the endpoints held sound had to get work, and the fourth was often among the few that counted. Change: an answer clears a failure only if its work started after it. Every sound endpoint is due after 1.5 s, the longest unused first; one in serious doubt after 3.6 s, while many requests fail.

--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -9,7 +9,6 @@
 
 constexpr double kOtherZoneCost = 0.03;  ///< Cost of another zone: an answer crosses once more.
 constexpr double kNoHelpDoubt = 0.6;     ///< Doubt above which an endpoint is no help against a backlog.
-constexpr double kUsedShare = 0.75;      ///< Share of the sound endpoints that must have got work lately.
 constexpr double kTrialDoubt = 0.27;     ///< Doubt above which an endpoint gets one request at a time.
 constexpr std::size_t kMaxScan = 256;    ///< Endpoints looked at for one request.
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(40);  ///< After the first failed connect.
@@ -62,16 +61,9 @@
 
 void EndpointTable::CountSound(Instant now) {
   m_sound_slots = 0;
-  std::int64_t sound = 0;
-  std::int64_t used = 0;
   for (const auto& [name, state] : m_slots) {
-    if (state.m_usable > 0 && state.m_placement.Sound(now)) {
-      ++sound;
-      used += state.m_placement.UsedLately(now) ? 1 : 0;
-    }
     if (state.m_backoff_until <= now) m_sound_slots += SlotsByDoubt(state, kNoHelpDoubt, now);
   }
-  m_spread_short = static_cast<double>(used) < kUsedShare * static_cast<double>(sound);
 }
 
 void EndpointTable::Update(Slots& state, Instant now) {
@@ -105,11 +97,6 @@
   return held->second < std::max<std::int64_t>(1, cap);
 }
 
-PlacementState::Need EndpointTable::PlacementNeed(const Need& need) const {
-  const auto spread = m_spread_short ? PlacementState::Spread::kSound : PlacementState::Spread::kNone;
-  return {need.m_repeatable, need.m_spread ? PlacementState::Spread::kAll : spread};
-}
-
 std::int64_t EndpointTable::SlotsByDoubt(const Slots& state, double most_doubt, Instant now) {
   const double doubt = state.m_placement.Doubt(now);
   if (doubt > most_doubt) return 0;
@@ -126,7 +113,7 @@
     if (!Meets(*key.m_slots, need, now)) continue;
     if (!need.m_by_belief) return key.m_slots;
     const PlacementState::Load load{key.m_slots->m_busy, key.m_slots->m_usable, 0};
-    const bool due = key.m_slots->m_placement.DueForSpread(PlacementNeed(need), load, now);
+    const bool due = key.m_slots->m_placement.DueForSpread(need.m_placement, load, now);
     const bool can_wait = need.m_most_doubt < 1 && !due;
     if (can_wait && key.m_slots->m_busy >= SlotsByDoubt(*key.m_slots, need.m_most_doubt, now)) continue;
     const double cost = CostOf(*key.m_slots, need, now);
@@ -145,7 +132,7 @@
     }
   }
   const double zone_cost = state.m_endpoint.m_zone == m_own_zone ? 0 : kOtherZoneCost;
-  return state.m_placement.Cost(PlacementNeed(need), load, now) + zone_cost;
+  return state.m_placement.Cost(need.m_placement, load, now) + zone_cost;
 }
 
 std::int64_t EndpointTable::Take(Slots& state, const std::string& class_name, bool exclusive, Instant now) {
@@ -163,9 +150,9 @@
 }
 
 void EndpointTable::Observe(const std::string& endpoint, Evidence evidence, double relative_time,
-                            Instant now) {
+                            Instant started, Instant now) {
   if (const auto found = m_slots.find(endpoint); found != m_slots.end()) {
-    found->second.m_placement.Observe(evidence, relative_time, now);
+    found->second.m_placement.Observe(evidence, relative_time, started, now);
     CountSound(now);
   }
 }
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -44,9 +44,8 @@
     std::string m_class_name;
     double m_max_share = 1;  ///< Share of one endpoint's slots that the class may hold.
     bool m_alone = false;    ///< Whether it must have an endpoint to itself.
-    bool m_repeatable = true;
+    PlacementState::Need m_placement;
     bool m_canary = true;      ///< Whether it may go to an endpoint whose health is on trial.
-    bool m_spread = false;     ///< Whether every endpoint must get work now and then.
     bool m_by_belief = false;  ///< Whether cost decides; otherwise the least used endpoint is taken.
     double m_most_doubt = 1;   ///< Doubt above which waiting for another endpoint is better.
     double m_usual_time = 0;   ///< Usual time of the work, seconds; 0 when it is not known.
@@ -72,7 +71,9 @@
 
   /// Notes what work told about an endpoint.
   /// @param relative_time Time of the work in multiples of the usual time; 0 when it tells nothing.
-  void Observe(const std::string& endpoint, Evidence evidence, double relative_time, Instant now);
+  /// @param started Start of the work.
+  void Observe(const std::string& endpoint, Evidence evidence, double relative_time, Instant started,
+               Instant now);
 
   /// Whether an endpoint takes no new work.
   bool Leaving(const std::string& endpoint) const;
@@ -116,7 +117,6 @@
 
   double CostOf(const Slots& slots, const Need& need, Instant now) const;
   void CountSound(Instant now);
-  PlacementState::Need PlacementNeed(const Need& need) const;
 
   /// Slots that work which can wait for other endpoints may take.
   static std::int64_t SlotsByDoubt(const Slots& slots, double most_doubt, Instant now);
@@ -128,7 +128,6 @@
   std::string m_own_zone;
   std::map<std::string, Slots> m_slots;
   std::set<FreeKey> m_free;
-  bool m_spread_short = false;     ///< Whether too few of the sound endpoints got work lately.
   std::int64_t m_sound_slots = 0;  ///< Slots of endpoints that are in no serious doubt.
   std::int64_t m_total_usable = 0;
   std::int64_t m_total_busy = 0;
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -228,11 +228,11 @@
   need.m_class_name = request.m_class_name;
   need.m_max_share = state == m_classes.end() ? 1 : state->second.m_priority.m_max_share;
   need.m_alone = m_suspects.IsSuspect(request.m_fingerprint);
-  need.m_repeatable = request.m_repeatable;
+  need.m_placement.m_repeatable = request.m_repeatable;
   // Where nothing can be repeated, somebody has to go first.
   need.m_canary = request.m_repeatable || now - m_last_repeatable > kTrialByRepeatable;
   const double unserved = m_unserved.PerSecond(now);
-  need.m_spread = unserved > kSpreadShare * (unserved + m_served.PerSecond(now));
+  need.m_placement.m_try_all = unserved > kSpreadShare * (unserved + m_served.PerSecond(now));
   need.m_usual_time = UsualTime(request);
   need.m_by_belief = m_settings.m_by_belief;
   if (need.m_by_belief) need.m_most_doubt = MostDoubt(pending, need.m_usual_time, now);
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -117,7 +117,7 @@
     const double relative = usual > 0 ? ToSeconds(result.m_latency) / usual : 0;
     const Evidence evidence = EvidenceOf(result.m_outcome, relative);
     const bool timed = evidence == Evidence::kGood || evidence == Evidence::kSlow;
-    m_endpoints.Observe(attempt.m_endpoint, evidence, timed ? relative : 0, now);
+    m_endpoints.Observe(attempt.m_endpoint, evidence, timed ? relative : 0, attempt.m_started, now);
   }
   const std::string& work = pending.m_request.m_route;
   ReportChanges(m_health.Observe(attempt.m_endpoint, work, result.m_outcome, result.m_latency, now), out);
@@ -219,7 +219,7 @@
   if (attempt.m_overdue || usual <= 0 || attempt.m_started < m_last_pause) return;
   if (ToSeconds(now - attempt.m_started) < usual * kOverdueFactor) return;
   attempt.m_overdue = true;
-  m_endpoints.Observe(attempt.m_endpoint, Evidence::kSlow, 0, now);
+  m_endpoints.Observe(attempt.m_endpoint, Evidence::kSlow, 0, attempt.m_started, now);
 }
 
 void FairDispatcher::Hedge(Pending& pending, Instant now, DispatchEffects& out) {
--- a/fescueramp/dispatch/placement.cc
+++ b/fescueramp/dispatch/placement.cc
@@ -20,14 +20,20 @@
 constexpr double kRefusalCost = 0.2;    ///< Cost of a refusal: a retry of the fleet's budget, and a delay.
 constexpr double kSpreadBonus = 2.0;    ///< Outweighs every other cost.
 constexpr double kUnsoundDoubt = 0.5;   ///< Doubt from which an endpoint is not taken for sound.
-constexpr Duration kSpreadPeriod =
-    std::chrono::milliseconds(1500);                        ///< Longest time without work when spreading.
-constexpr Duration kTrialPeriod = std::chrono::seconds(8);  ///< Longest time without work in any case.
+constexpr double kUnusedCost = 0.2;      ///< Gain of an endpoint that is due, a second without work.
+constexpr double kMostUnused = 5;        ///< Seconds without work beyond which the gain grows no more.
+/// Longest time without work of a sound endpoint: the operators' floor counts over any 2 s.
+constexpr Duration kSoundPeriod = std::chrono::milliseconds(1500);
+/// The same of one in serious doubt: an endpoint that recovered counts for the floor 2 s later, and must have
+/// got work within 2 s more.
+constexpr Duration kDoubtPeriod = std::chrono::milliseconds(3600);
 
 }  // namespace
 
-void PlacementState::Observe(Evidence evidence, double relative_time, Instant now) {
-  m_filter.Observe(evidence, now);
+void PlacementState::Observe(Evidence evidence, double relative_time, Instant started, Instant now) {
+  const bool outdated = evidence == Evidence::kGood && started < m_failed_at;
+  if (!outdated) m_filter.Observe(evidence, now);
+  if (evidence == Evidence::kFailed) m_failed_at = now;
   m_refused = RefusedShare(now) * (1 - kRefusalWeight);
   m_refused_at = now;
   if (relative_time <= 0) return;
@@ -46,11 +52,11 @@
 
 bool PlacementState::Sound(Instant now) const { return m_filter.Probability(now) < kUnsoundDoubt; }
 
-bool PlacementState::UsedLately(Instant now) const { return now - m_last_used <= kSpreadPeriod; }
-
 bool PlacementState::DueForSpread(const Need& need, const Load& load, Instant now) const {
-  const bool wanted = need.m_spread == Spread::kAll || (need.m_spread == Spread::kSound && Sound(now));
-  return wanted && load.m_busy < load.m_slots && !UsedLately(now);
+  if (load.m_busy >= load.m_slots) return false;
+  if (need.m_try_all) return now - m_last_used > (Sound(now) ? kSoundPeriod : kDoubtPeriod);
+  const bool cold = now < m_warm_at && !need.m_repeatable;
+  return Sound(now) && !cold && now - m_last_used > kSoundPeriod;
 }
 
 double PlacementState::Cost(const Need& need, const Load& load, Instant now) const {
@@ -62,15 +68,10 @@
   if (now < m_warm_at) time *= kColdFactor;
   const double fullness =
       static_cast<double>(load.m_busy) / static_cast<double>(std::max<std::int64_t>(1, load.m_slots));
-  double cost = failure + kRefusalCost * RefusedShare(now) + kTimeCost * time + kFullerCost * fullness;
-  if (DueForSpread(need, load, now)) return cost - kSpreadBonus;
-  // An endpoint without work tells nothing; one request keeps what is known of it fresh.
-  const Duration unused = now - m_last_used;
-  const bool unknown = need.m_repeatable || m_last_used == Instant{};
-  const bool due = unknown && unused > kTrialPeriod;
-  const bool cold = now < m_warm_at && !need.m_repeatable;
-  if (due && load.m_busy == 0 && !cold && Sound(now)) cost -= kSpreadBonus;
-  return cost;
+  const double cost = failure + kRefusalCost * RefusedShare(now) + kTimeCost * time + kFullerCost * fullness;
+  if (!DueForSpread(need, load, now)) return cost;
+  // Where more are due than there is work for, the one that waits longest goes first.
+  return cost - kSpreadBonus - kUnusedCost * std::min(ToSeconds(now - m_last_used), kMostUnused);
 }
 
 }  // namespace fescueramp
--- a/fescueramp/dispatch/placement.h
+++ b/fescueramp/dispatch/placement.h
@@ -11,13 +11,6 @@
 /// elsewhere: one failure is enough to let work go to others first, and belief returns by itself.
 class PlacementState {
  public:
-  /// Which endpoints must get work now and then, though others would be the better choice.
-  enum class Spread {
-    kNone,
-    kSound,  ///< Those that are in no serious doubt.
-    kAll,
-  };
-
   /// Work at one endpoint at the time of a choice.
   struct Load {
     std::int64_t m_busy = 0;
@@ -29,12 +22,14 @@
   /// What a request needs.
   struct Need {
     bool m_repeatable = true;
-    Spread m_spread = Spread::kNone;
+    bool m_try_all = false;  ///< Whether endpoints in serious doubt must get work now and then as well.
   };
 
-  /// Notes one outcome.
+  /// Notes one outcome. A good answer to work that started before the last failure tells nothing about the
+  /// endpoint since then: endpoints that reset new work still finish what runs.
   /// @param relative_time Time that the work took, in multiples of the usual time; 0 when it tells nothing.
-  void Observe(Evidence evidence, double relative_time, Instant now);
+  /// @param started Start of the work.
+  void Observe(Evidence evidence, double relative_time, Instant started, Instant now);
 
   /// Notes that the endpoint refused work for which it had a slot: that costs a retry, but not the work.
   void NoteRefused(Instant now);
@@ -57,9 +52,6 @@
   /// Whether the endpoint is in no serious doubt.
   bool Sound(Instant now) const;
 
-  /// Whether it got work within the time in which endpoints must get some.
-  bool UsedLately(Instant now) const;
-
  private:
   double RefusedShare(Instant now) const;
 
@@ -67,6 +59,7 @@
   double m_relative_time = 1;  ///< Moving average of times, in multiples of the usual time.
   double m_refused = 0;        ///< Share of recent work that was refused.
   Instant m_refused_at{};
+  Instant m_failed_at{};  ///< Last time at which work broke off.
   Instant m_last_used{};
   Instant m_warm_at{};
 };
