Notice sends that are not acknowledged, and let a stand-in wait for its list of endpoints

It noticed only by new connections that failed; 85 filings went silent on kept ones for 2.5 s, 198 waited for sound endpoints, and the floor broke as nothing reached endpoints that other hosts reached. The stand-in then refused a third of what was given back, since it counted one slot while it had no list. Change: TCP's user timeout is 0.7 s instead of 4; its error is an outcome of its own, evidence against the path, and may have run. Before the first list nothing is refused for its wait; a list without endpoints refuses at once.

--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -214,9 +214,9 @@
 void DispatchHandler::EndAttempt(const std::shared_ptr<Call>& call, const std::shared_ptr<Attempt>& attempt,
                                  const StartAttempt& effect, const AttemptResult& result) {
   const auto port = static_cast<std::uint16_t>(effect.m_port);
-  const bool unusable = result.m_outcome == AttemptOutcome::kSilent ||
-                        result.m_outcome == AttemptOutcome::kBroken ||
-                        result.m_outcome == AttemptOutcome::kMisdirected;
+  const bool unusable =
+      result.m_outcome == AttemptOutcome::kSilent || result.m_outcome == AttemptOutcome::kUnacknowledged ||
+      result.m_outcome == AttemptOutcome::kBroken || result.m_outcome == AttemptOutcome::kMisdirected;
   if (unusable) {
     m_context.m_endpoints->Drop(effect.m_address, port);
   } else if (attempt->m_connection && attempt->m_answer_whole) {
@@ -236,6 +236,9 @@
   if (attempt.m_cancelled) return AttemptOutcome::kCancelled;
   const bool timed_out = attempt.m_connection && attempt.m_connection->m_connection.TimedOut();
   if (!attempt.m_sent) return timed_out ? AttemptOutcome::kUnreachable : AttemptOutcome::kConnectFailed;
+  if (attempt.m_connection && attempt.m_connection->m_connection.Unacknowledged()) {
+    return AttemptOutcome::kUnacknowledged;
+  }
   if (!timed_out) return AttemptOutcome::kBroken;
   return attempt.m_connection->m_reused ? AttemptOutcome::kSilent : AttemptOutcome::kTimedOut;
 }
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -76,6 +76,7 @@
 
 void FairDispatcher::SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, Instant now,
                                       DispatchEffects& out) {
+  m_listed = true;
   m_live.clear();
   for (const auto& endpoint : endpoints) {
     if (endpoint.m_service == m_service) m_live.push_back(endpoint);
@@ -139,16 +140,21 @@
   return ReturnTime(ExpectedWait(state->second), service_time, Hash64(pending.m_request.m_request_id));
 }
 
+bool FairDispatcher::WouldBeLate(const Pending& pending, const ClassState& state, Instant now) const {
+  // Before the first list nothing is known of what waits; the queue is given back if none comes.
+  if (m_pool.m_discovered && !m_listed) return false;
+  const Duration wait = ExpectedWait(state);
+  const Duration service_time = FromSeconds(state.m_demand.MeanServiceTime());
+  return m_endpoints.All().empty() || wait > std::chrono::milliseconds(state.m_priority.m_max_wait_ms) ||
+         now + wait + service_time > pending.m_request.m_deadline;
+}
+
 bool FairDispatcher::RefuseEarly(const Pending& pending, const ClassState& state, Instant now,
                                  DispatchEffects& out) {
   ResultCode code = ResultCode::kOk;
-  const Duration wait = ExpectedWait(state);
-  const bool too_long = wait > std::chrono::milliseconds(state.m_priority.m_max_wait_ms);
-  const Duration service_time = FromSeconds(state.m_demand.MeanServiceTime());
   if (m_suspects.IsQuarantined(pending.m_request.m_fingerprint)) {
     code = ResultCode::kQuarantined;
-  } else if (state.m_queue.Size() >= m_settings.m_max_queued || too_long ||
-             now + wait + service_time > pending.m_request.m_deadline) {
+  } else if (state.m_queue.Size() >= m_settings.m_max_queued || WouldBeLate(pending, state, now)) {
     code = ResultCode::kNotRun;
   }
   if (code == ResultCode::kOk) return false;
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -100,6 +100,8 @@
   void UpdateBounds(Instant now);
   Duration ExpectedWait(const ClassState& state) const;
   Duration TimeToReturn(const Pending& pending) const;
+  /// Whether a request can't be served in time by what is known now.
+  bool WouldBeLate(const Pending& pending, const ClassState& state, Instant now) const;
   bool RefuseEarly(const Pending& pending, const ClassState& state, Instant now, DispatchEffects& out);
   void ExpireQueued(Instant now, DispatchEffects& out);
   void FinishQuarantined(std::uint64_t fingerprint, Instant now, DispatchEffects& out);
@@ -160,6 +162,7 @@
   HedgePolicy m_hedges;
   PathWatch m_paths;
   std::vector<LiveEndpoint> m_live;
+  bool m_listed = false;                    ///< Whether live endpoints have been listed.
   Instant m_last_repeatable{};              ///< Arrival of the last repeatable request.
   RateEstimate m_served{kOutcomeMemory};    ///< Requests that ended well.
   RateEstimate m_unserved{kOutcomeMemory};  ///< Requests that did not.
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -20,6 +20,11 @@
          outcome == AttemptOutcome::kMisdirected || outcome == AttemptOutcome::kUnreachable;
 }
 
+/// Whether the way to the endpoint may be to blame.
+bool PathFailed(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kUnreachable || outcome == AttemptOutcome::kUnacknowledged;
+}
+
 Evidence EvidenceOf(AttemptOutcome outcome, double relative_time) {
   switch (outcome) {
     case AttemptOutcome::kAnswered:
@@ -83,7 +88,7 @@
   } else {
     EndFailedAttempt(pending, *attempt, result, now, out);
   }
-  if (result.m_outcome == AttemptOutcome::kUnreachable && PathsTroubled(now)) HandBack(now, out);
+  if (PathFailed(result.m_outcome) && PathsTroubled(now)) HandBack(now, out);
   Pump(now, out);
 }
 
@@ -170,8 +175,8 @@
     m_suspects.AddBreak(pending.m_request.m_fingerprint, pending.m_alone, now);
   }
   const bool refused = result.m_outcome == AttemptOutcome::kShed;
-  if (not_run && !refused) m_endpoints.BackOff(attempt.m_endpoint, now);
-  if (result.m_outcome == AttemptOutcome::kUnreachable) m_paths.NoteUnreachable(attempt.m_endpoint, now);
+  if ((not_run && !refused) || PathFailed(result.m_outcome)) m_endpoints.BackOff(attempt.m_endpoint, now);
+  if (PathFailed(result.m_outcome)) m_paths.NoteUnreachable(attempt.m_endpoint, now);
   pending.m_failed_endpoints.insert(attempt.m_endpoint);
   if (result.m_outcome == AttemptOutcome::kServerError) pending.m_answered_with = attempt.m_number;
   // While another attempt runs, its answer decides.
--- a/fescueramp/dispatch/path_watch.h
+++ b/fescueramp/dispatch/path_watch.h
@@ -14,7 +14,7 @@
 /// handed to one that tries for itself, once per request.
 class PathWatch {
  public:
-  /// Notes that an endpoint did not answer a connect.
+  /// Notes that an endpoint's host did not answer a connect or acknowledge what was sent.
   void NoteUnreachable(const std::string& endpoint, Instant now);
 
   /// Notes that an endpoint answered.
@@ -25,7 +25,7 @@
   bool Troubled(std::size_t endpoints, Instant now);
 
  private:
-  std::map<std::string, Instant> m_unreachable;  ///< Last failed connect, by endpoint.
+  std::map<std::string, Instant> m_unreachable;  ///< Last time, by endpoint.
   Instant m_troubled_until{};
 };
 
--- a/fescueramp/health/health_monitor.cc
+++ b/fescueramp/health/health_monitor.cc
@@ -36,7 +36,8 @@
 /// Outcomes that say nothing about the health of the endpoint.
 bool IsNeutral(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kShed || outcome == AttemptOutcome::kMisdirected ||
-         outcome == AttemptOutcome::kCancelled || outcome == AttemptOutcome::kSilent;
+         outcome == AttemptOutcome::kCancelled || outcome == AttemptOutcome::kSilent ||
+         outcome == AttemptOutcome::kUnacknowledged;
 }
 
 }  // namespace
--- a/fescueramp/health/health_monitor.h
+++ b/fescueramp/health/health_monitor.h
@@ -16,23 +16,24 @@
 
 /// How one attempt on an endpoint ended.
 enum class AttemptOutcome {
-  kAnswered,       ///< A whole answer with a status below 500.
-  kServerError,    ///< A whole answer with a status of 500 or more.
-  kShed,           ///< The endpoint refused; the work did not run.
-  kMisdirected,    ///< Another endpoint has the address; the work did not run.
-  kConnectFailed,  ///< Nothing was sent; the work did not run.
-  kUnreachable,    ///< Nobody answered the connect; the work did not run.
-  kBroken,         ///< The connection ended after work was sent and before the answer was whole.
-  kTimedOut,       ///< No answer in time on a connection that was opened for the attempt.
-  kSilent,         ///< No answer in time on an older connection; a newer one may work.
-  kCancelled,      ///< Given up because the caller left.
+  kAnswered,        ///< A whole answer with a status below 500.
+  kServerError,     ///< A whole answer with a status of 500 or more.
+  kShed,            ///< The endpoint refused; the work did not run.
+  kMisdirected,     ///< Another endpoint has the address; the work did not run.
+  kConnectFailed,   ///< Nothing was sent; the work did not run.
+  kUnreachable,     ///< Nobody answered the connect; the work did not run.
+  kBroken,          ///< The connection ended after work was sent and before the answer was whole.
+  kTimedOut,        ///< No answer in time on a connection that was opened for the attempt.
+  kSilent,          ///< No answer in time on an older connection; a newer one may work.
+  kCancelled,       ///< Given up because the caller left.
+  kUnacknowledged,  ///< The endpoint's host did not acknowledge what was sent; the work may have run.
 };
 
 template <>
 struct EnumTable<AttemptOutcome> {
-  static constexpr std::array<std::string_view, 10> kNames = {
-      "answered",    "server_error", "shed",      "misdirected", "connect_failed",
-      "unreachable", "broken",       "timed_out", "silent",      "cancelled"};
+  static constexpr std::array<std::string_view, 11> kNames = {
+      "answered", "server_error", "shed",   "misdirected", "connect_failed", "unreachable",
+      "broken",   "timed_out",    "silent", "cancelled",   "unacknowledged"};
 };
 
 /// Whether an endpoint gets work.
--- a/fescueramp/net/http_client.cc
+++ b/fescueramp/net/http_client.cc
@@ -21,7 +21,9 @@
 
 constexpr int kProbeSeconds = 1;  ///< Silence before the peer's host is asked, and between questions.
 constexpr int kProbes = 3;        ///< Questions without an answer that end a connection.
-constexpr int kUserTimeoutMilliseconds = 4000;  ///< Longest time that sent bytes may stay unacknowledged.
+/// Longest time that sent bytes may stay unacknowledged: two retransmissions of TCP, whose first comes after
+/// 200 ms.
+constexpr int kUserTimeoutMilliseconds = 700;
 
 /// Lets the kernel notice a connection that has gone silent for good.
 void SetSocketOptions(tcp::socket& socket) {
@@ -49,6 +51,7 @@
   bool m_connected = false;
   bool m_sent = false;
   bool m_timed_out = false;
+  bool m_unacknowledged = false;
   http::request<http::buffer_body> m_request;
   std::optional<http::request_serializer<http::buffer_body>> m_serializer;
   std::optional<http::response_parser<http::buffer_body>> m_parser;
@@ -56,6 +59,7 @@
   /// Closes the connection and throws.
   [[noreturn]] void Fail(const std::string& step, const beast::error_code& ec) {
     m_timed_out = ec == beast::error::timeout;
+    m_unacknowledged = ec == asio::error::timed_out;
     m_connected = false;
     m_stream.close();
     throw HttpError(step + " " + m_address + ":" + std::to_string(m_port) + ": " + ec.message(), m_sent);
@@ -79,6 +83,7 @@
     m_parser.reset();
     m_sent = false;
     m_timed_out = false;
+    m_unacknowledged = false;
   }
 };
 
@@ -222,6 +227,8 @@
 
 bool HttpConnection::TimedOut() const { return m_state->m_timed_out; }
 
+bool HttpConnection::Unacknowledged() const { return m_state->m_unacknowledged; }
+
 void HttpConnection::Close() {
   m_state->m_connected = false;
   m_state->m_stream.close();
--- a/fescueramp/net/http_client.h
+++ b/fescueramp/net/http_client.h
@@ -66,6 +66,9 @@
   /// Whether the last error was a timeout.
   bool TimedOut() const;
 
+  /// Whether the last error was that the server's host did not acknowledge what was sent.
+  bool Unacknowledged() const;
+
   /// Closes the connection; operations that wait end with an error.
   void Close();
 
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -151,7 +151,7 @@
     }
     DispatchEffects out;
     dispatcher->Configure(m_table, out, now);
-    dispatcher->SetLiveEndpoints(m_live_endpoints, now, out);
+    if (m_live_version > 0) dispatcher->SetLiveEndpoints(m_live_endpoints, now, out);
     for (const auto& endpoint : m_membership.LeavingEndpoints())
       dispatcher->SetLeaving(endpoint, true, now, out);
   }
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -175,6 +175,33 @@
   BOOST_TEST(!finished[0].m_maybe_ran);
 }
 
+BOOST_AUTO_TEST_CASE(CrestAtAStandInWaitsForTheListOfEndpoints) {
+  // Recorded: 198 filings were given back at once, and a stand-in that had no list yet refused a third of
+  // them.
+  DiscoveryNode node(3);
+  std::vector<FinishRequest> finished;
+  for (int i = 0; i < 200; ++i) {
+    const Effects effects = node.Post(DispatchArrived{Filing("x-" + std::to_string(i), node.Now(), 2), 0});
+    for (auto& item : DiscoveryNode::Select<FinishRequest>(effects)) finished.push_back(std::move(item));
+  }
+  BOOST_TEST(finished.empty());
+  std::vector<LiveEndpoint> endpoints;
+  for (int i = 0; i < 100; ++i) endpoints.push_back(Live("i-" + std::to_string(i)));
+  const auto started =
+      DiscoveryNode::Select<StartAttempt>(node.Post(EndpointsListed{1, std::move(endpoints)}));
+  BOOST_TEST(started.size() == 200U);
+}
+
+BOOST_AUTO_TEST_CASE(WorkIsRefusedAtOnceWhereNoEndpointIsListed) {
+  DiscoveryNode node(3);
+  node.Post(EndpointsListed{1, {}});
+  const auto finished =
+      DiscoveryNode::Select<FinishRequest>(node.Post(DispatchArrived{Filing("x-1", node.Now(), 2), 0}));
+  BOOST_REQUIRE(finished.size() == 1U);
+  BOOST_TEST(finished[0].m_code == static_cast<std::int64_t>(ResultCode::kNotRun));
+  BOOST_TEST(!finished[0].m_maybe_ran);
+}
+
 BOOST_AUTO_TEST_CASE(WorkStartsAsSoonAsEndpointsAreListed) {
   DiscoveryNode node(3);
   node.Post(DispatchArrived{Filing("x-1", node.Now(), 2), 0});
--- a/unit_tests/dispatch_test.cc
+++ b/unit_tests/dispatch_test.cc
@@ -156,6 +156,7 @@
     {AttemptOutcome::kBroken, true, ResultCode::kOutcomeUnknown},
     {AttemptOutcome::kTimedOut, true, ResultCode::kOutcomeUnknown},
     {AttemptOutcome::kSilent, true, ResultCode::kOutcomeUnknown},
+    {AttemptOutcome::kUnacknowledged, true, ResultCode::kOutcomeUnknown},
     {AttemptOutcome::kShed, false, ResultCode::kOk},
     {AttemptOutcome::kConnectFailed, false, ResultCode::kOk},
 };
--- a/unit_tests/placement_test.cc
+++ b/unit_tests/placement_test.cc
@@ -96,7 +96,7 @@
 /// An endpoint without work for a while beside one that got some, and whether it must be the next choice.
 struct SpreadCase {
   const char* m_name;
-  int m_failures;    ///< Work that broke off there when it was last used.
+  int m_failures;     ///< Work that broke off there when it was last used.
   Duration m_unused;  ///< Time since then.
   bool m_try_all;
   bool m_chosen;
@@ -335,14 +335,24 @@
   }
 }
 
-BOOST_AUTO_TEST_CASE(WorkIsGivenBackWhenEndpointsAreOutOfReach) {
+/// An outcome that may be the way's fault.
+struct PathFailure {
+  AttemptOutcome m_outcome;
+};
+
+std::ostream& operator<<(std::ostream& out, const PathFailure& row) { return out << EnumName(row.m_outcome); }
+
+const PathFailure kPathFailures[] = {{AttemptOutcome::kUnreachable}, {AttemptOutcome::kUnacknowledged}};
+
+BOOST_DATA_TEST_CASE(WorkIsGivenBackWhenEndpointsAreOutOfReach, boost::unit_test::data::make(kPathFailures),
+                     row) {
   DispatchHarness harness(4, 1);
   std::vector<std::string> running;
   for (int i = 0; i < 4; ++i) running.push_back(harness.Send("short"));
   const std::string waiting = harness.Send("short");
-  harness.End(running[0], AttemptOutcome::kUnreachable, milliseconds(250));
+  harness.End(running[0], row.m_outcome, milliseconds(250));
   BOOST_TEST(!harness.Ended(waiting));
-  harness.End(running[1], AttemptOutcome::kUnreachable, milliseconds(250));
+  harness.End(running[1], row.m_outcome, milliseconds(250));
   BOOST_TEST(harness.Target().PathsTroubled(harness.Now()));
   BOOST_REQUIRE(harness.Ended(waiting));
   BOOST_CHECK(harness.CodeOf(waiting) == ResultCode::kNotReady);
