Split the endpoints of large services by zone, with a dispatcher a zone

Cause: one dispatcher a service carried 480 payments a second on the grown sites, an answer crossed zones twice, and a host that lost its way to some endpoints held up a whole service. A dispatcher that is asked for a part its service does not have answers OTHER_PART with the zones that have parts, which entry hosts remember; one whose sound slots are all waited for names them too, and the request goes to another zone, once. Parts share the retry burst. Owners of a part are hosts of its zone as long as there are any.

--- a/bench/decision_cost.cc
+++ b/bench/decision_cost.cc
@@ -53,7 +53,7 @@
 /// Mean cost of one request's arrival, decision and end, with `queued` requests waiting.
 double DispatchMicros(int endpoints, int queued) {
   const auto table = std::make_shared<RouteTable>(1, MakeSet(endpoints, 1, 10));
-  FairDispatcher dispatcher("work", "n0", "az0");
+  FairDispatcher dispatcher({"work", {}}, "n0", "az0");
   Instant now{std::chrono::seconds(1'700'000'000)};
   DispatchEffects out;
   dispatcher.Configure(table, out, now);
--- a/fescueramp/config/objects.h
+++ b/fescueramp/config/objects.h
@@ -51,8 +51,10 @@
   std::int64_t m_retry_burst = 50;         ///< Retries allowed in one window beside the ratio.
   std::int64_t m_retry_window_ms = 10000;  ///< Length of the window over which retries are counted, ms.
   double m_hedge_quantile = 0;             ///< Quantile of times after which work is sent twice; 0 for never.
-  bool m_by_belief = false;                ///< Whether endpoints are chosen by belief rather than evenly.
-  std::int64_t m_quarantine_breaks = 2;    ///< Endpoints that a request may break before it is refused.
+  std::int64_t m_part_endpoints =
+      0;                     ///< Endpoints from which a zone gets a dispatcher of its own; 0 for never.
+  bool m_by_belief = false;  ///< Whether endpoints are chosen by belief rather than evenly.
+  std::int64_t m_quarantine_breaks = 2;       ///< Endpoints that a request may break before it is refused.
   std::int64_t m_progress_timeout_ms = 2000;  ///< Silence after which a connection is checked, ms.
   std::int64_t m_max_queued = 10000;          ///< Requests queued at once.
   StoreAwayPolicy m_store_away = StoreAwayPolicy::kRefuse;  ///< Non-repeatable work without the store.
--- /dev/null
+++ b/fescueramp/config/service_part.cc
@@ -0,0 +1,55 @@
+#include "fescueramp/config/service_part.h"
+
+#include <algorithm>
+#include <map>
+
+#include "fescueramp/core/hash.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr std::size_t kLeastZones = 2;  ///< A single part would be the whole service.
+constexpr double kKeepShare = 0.7;      ///< Share of the least number down to which a zone keeps its part.
+
+}  // namespace
+
+std::string NameOf(const ServicePart& part) {
+  return part.m_zone.empty() ? part.m_service : part.m_service + "@" + part.m_zone;
+}
+
+void ServiceSplit::Update(const std::vector<LiveEndpoint>& endpoints, const std::string& service,
+                          std::int64_t least) {
+  std::map<std::string, std::int64_t> counts;
+  for (const auto& endpoint : endpoints) {
+    if (endpoint.m_service == service && !endpoint.m_leaving) ++counts[endpoint.m_zone];
+  }
+  std::vector<std::string> zones;
+  for (const auto& [zone, count] : counts) {
+    const bool has_part = std::find(m_zones.begin(), m_zones.end(), zone) != m_zones.end();
+    const double needed = static_cast<double>(least) * (has_part ? kKeepShare : 1);
+    if (least > 0 && static_cast<double>(count) >= needed) zones.push_back(zone);
+  }
+  m_zones = zones.size() < kLeastZones ? std::vector<std::string>() : std::move(zones);
+}
+
+std::vector<LiveEndpoint> ServiceSplit::EndpointsOf(const ServicePart& part,
+                                                    const std::vector<LiveEndpoint>& endpoints) const {
+  std::vector<LiveEndpoint> found;
+  for (const auto& endpoint : endpoints) {
+    if (endpoint.m_service != part.m_service) continue;
+    const bool whole = part.m_zone.empty() || m_zones.empty();
+    if (whole || ServingZone(m_zones, endpoint.m_zone, endpoint.m_name) == part.m_zone) {
+      found.push_back(endpoint);
+    }
+  }
+  return found;
+}
+
+std::string ServingZone(const std::vector<std::string>& zones, const std::string& zone,
+                        const std::string& key) {
+  if (zones.empty()) return {};
+  if (std::find(zones.begin(), zones.end(), zone) != zones.end()) return zone;
+  return zones[Hash64(key) % zones.size()];
+}
+
+}  // namespace fescueramp
--- a/fescueramp/core/result_code.cc
+++ b/fescueramp/core/result_code.cc
@@ -38,6 +38,8 @@
                "The deadline passed before an answer; the work is repeatable and may have run."},
     ResultInfo{ResultCode::kAnswerIncomplete, "ANSWER_INCOMPLETE", 502,
                "The answer broke off and no retry was possible; the work is repeatable."},
+    ResultInfo{ResultCode::kOtherPart, "OTHER_PART", 503,
+               "The dispatcher gives the request to that of another zone. This attempt was not run."},
     ResultInfo{ResultCode::kInvalidObjectSet, "INVALID_OBJECT_SET", 422,
                "The object set has mistakes; nothing of it was published."},
     ResultInfo{ResultCode::kRevisionConflict, "REVISION_CONFLICT", 409,
--- a/fescueramp/core/result_code.h
+++ b/fescueramp/core/result_code.h
@@ -24,6 +24,7 @@
   kQuarantined = 2006,
   kDeadlineExceeded = 2007,
   kAnswerIncomplete = 2008,
+  kOtherPart = 2009,
   kInvalidObjectSet = 3001,
   kRevisionConflict = 3002,
   kStoreUnavailable = 3003,
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -103,10 +103,12 @@
   head.m_retry_after_ms = finish.m_retry_after_ms;
   head.m_recorded_status = finish.m_recorded_status;
   head.m_maybe_ran = finish.m_maybe_ran;
+  head.m_part_zones = finish.m_part_zones;
   head.m_receipt = Record(finish.m_record);
   m_context.m_log->Write("request_finished", {{"request", call.m_request.m_caller_id},
                                               {"internal_id", call.m_request.m_request_id},
                                               {"service", call.m_request.m_service},
+                                              {"part_zone", call.m_request.m_part_zone},
                                               {"result", finish.m_record.m_outcome},
                                               {"maybe_ran", finish.m_maybe_ran},
                                               {"retry_after_ms", finish.m_retry_after_ms},
@@ -132,6 +134,7 @@
                           {"internal_id", call.m_request.m_request_id},
                           {"entry_host", call.m_request.m_entry_node},
                           {"service", call.m_request.m_service},
+                          {"part_zone", call.m_request.m_part_zone},
                           {"endpoint", effect.m_endpoint},
                           {"attempt", effect.m_attempt},
                           {"outcome", EnumName(result.m_outcome)},
@@ -172,7 +175,7 @@
                                                   std::shared_ptr<Attempt> attempt, StartAttempt effect) {
   AttemptResult result;
   result.m_request_id = effect.m_request_id;
-  result.m_service = call->m_request.m_service;
+  result.m_part = NameOf(PartOf(call->m_request));
   result.m_attempt = effect.m_attempt;
   call->m_receipt = Record(effect.m_record);
   if (effect.m_attempt == 1) {
--- a/fescueramp/daemon/settings.h
+++ b/fescueramp/daemon/settings.h
@@ -33,9 +33,11 @@
   std::int64_t m_retry_burst = 50;         ///< Retries allowed in one window beside the ratio.
   std::int64_t m_retry_window_ms = 10000;  ///< Length of the window over which retries are counted, ms.
   double m_hedge_quantile = 0;             ///< Quantile of times after which work is sent twice; 0 for never.
+  std::int64_t m_part_endpoints = 0;       ///< Endpoints from which a zone gets a dispatcher; 0 for never.
 };
 BOOST_DESCRIBE_STRUCT(ServiceDefaults, (),
-                      (m_floor, m_retry_ratio, m_retry_burst, m_retry_window_ms, m_hedge_quantile))
+                      (m_floor, m_retry_ratio, m_retry_burst, m_retry_window_ms, m_hedge_quantile,
+                       m_part_endpoints))
 
 /// Settings of one daemon.
 struct Settings {
--- a/fescueramp/dispatch/baseline_dispatcher.h
+++ b/fescueramp/dispatch/baseline_dispatcher.h
@@ -18,7 +18,7 @@
   BaselineDispatcher(std::string service, std::string node, std::uint32_t seed);
 
   void Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) override;
-  void SetLiveEndpoints(const std::vector<LiveEndpoint>&, Instant, DispatchEffects&) override {}
+  void SetLiveEndpoints(const std::vector<LiveEndpoint>&, std::int64_t, Instant, DispatchEffects&) override {}
   void Enqueue(const DispatchRequest& request, Instant now, DispatchEffects& out) override;
   void Cancel(const std::string& request_id, Instant now, DispatchEffects& out) override;
   void EndAttempt(const AttemptResult& result, Instant now, DispatchEffects& out) override;
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "fescueramp/config/service_part.h"
 #include "fescueramp/core/result_code.h"
 #include "fescueramp/core/time.h"
 #include "fescueramp/health/health_monitor.h"
@@ -29,11 +30,16 @@
   std::int64_t m_max_attempts = 4;       ///< Endpoints that may run it.
   std::int64_t m_forwards = 1;           ///< Dispatchers tried or passed over, this one included.
   std::int64_t m_revision = 0;           ///< Configuration by which the entry host chose the service.
+  std::string m_part_zone;  ///< Zone of the service's part that shall serve it; empty for the whole service.
+  bool m_may_move = false;  ///< Whether another part may serve it when this one is full.
 };
 BOOST_DESCRIBE_STRUCT(DispatchRequest, (),
                       (m_request_id, m_entry_node, m_service, m_route, m_class_name, m_account, m_repeatable,
                        m_claim_key, m_fingerprint, m_deadline, m_caller_id, m_target_latency_ms,
-                       m_max_attempts, m_forwards, m_revision))
+                       m_max_attempts, m_forwards, m_revision, m_part_zone, m_may_move))
+
+/// Part of its service that shall serve a request.
+inline ServicePart PartOf(const DispatchRequest& request) { return {request.m_service, request.m_part_zone}; }
 
 /// Orders an attempt of a request on an endpoint.
 struct StartAttempt {
@@ -63,9 +69,11 @@
       0;                     ///< HTTP status that earlier work with the key ended with; 0 if not known.
   bool m_maybe_ran = false;  ///< Whether an attempt may have run.
   DecisionRecord m_record;
+  std::vector<std::string> m_part_zones;  ///< For OTHER_PART: zones that have parts of the service.
 };
 BOOST_DESCRIBE_STRUCT(FinishRequest, (),
-                      (m_request_id, m_code, m_retry_after_ms, m_recorded_status, m_maybe_ran, m_record))
+                      (m_request_id, m_code, m_retry_after_ms, m_recorded_status, m_maybe_ran, m_record,
+                       m_part_zones))
 
 /// Lets the answer of the current attempt go to the caller.
 struct DeliverAnswer {
@@ -94,7 +102,7 @@
 /// How an attempt ended, as the shell saw it.
 struct AttemptResult {
   std::string m_request_id;
-  std::string m_service;
+  std::string m_part;  ///< Name of the part of the service.
   std::int64_t m_attempt = 0;
   AttemptOutcome m_outcome = AttemptOutcome::kAnswered;
   std::int64_t m_status = 0;      ///< HTTP status of the answer; 0 when there is none.
@@ -104,7 +112,7 @@
   bool m_draining = false;        ///< Whether the endpoint said that it is leaving.
 };
 BOOST_DESCRIBE_STRUCT(AttemptResult, (),
-                      (m_request_id, m_service, m_attempt, m_outcome, m_status, m_latency, m_body_replayable,
+                      (m_request_id, m_part, m_attempt, m_outcome, m_status, m_latency, m_body_replayable,
                        m_answer_started, m_draining))
 
 }  // namespace fescueramp
--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -55,8 +55,10 @@
   /// Takes over a new revision of the objects.
   virtual void Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) = 0;
 
-  /// Sets the endpoints of a service whose endpoints announce themselves.
-  virtual void SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, Instant now,
+  /// Sets the endpoints of a service whose endpoints announce themselves, as far as they are this
+  /// dispatcher's.
+  /// @param parts Dispatchers among which the service's endpoints are split.
+  virtual void SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, std::int64_t parts, Instant now,
                                 DispatchEffects& out) = 0;
 
   /// Takes a request in. It ends with exactly one FinishRequest or DeliverAnswer.
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -23,22 +23,23 @@
 constexpr double kRetryTimeToWait = 1.2;  ///< The same for a request that has failed once.
 constexpr double kTimeToWait = 3;         ///< Work can wait while this multiple of its usual time is left.
 constexpr double kPermille = 1000;
+constexpr double kBacklogToMove = 0.25;  ///< Requests that wait per sound slot above which another part is
+                                         ///< asked: a quarter of a service time.
 constexpr Duration kTrialByRepeatable =
     std::chrono::seconds(2);  ///< Wait for repeatable work to try an endpoint.
 
 }  // namespace
 
-FairDispatcher::FairDispatcher(std::string service, std::string node, const std::string& zone,
+FairDispatcher::FairDispatcher(ServicePart part, std::string node, const std::string& zone,
                                HealthSettings health)
-    : m_service(std::move(service)), m_node(std::move(node)), m_health(health), m_endpoints(m_health, zone) {}
+    : m_part(std::move(part)), m_node(std::move(node)), m_health(health), m_endpoints(m_health, zone) {}
 
 void FairDispatcher::Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) {
   m_table = std::move(table);
   const ObjectSet& set = m_table->Set();
-  m_settings = set.m_services.at(m_service);
+  m_settings = set.m_services.at(m_part.m_service);
   m_pool = set.m_pools.at(m_settings.m_pool);
-  m_retry_budget.Configure(m_settings.m_retry_ratio, m_settings.m_retry_burst,
-                           std::chrono::milliseconds(m_settings.m_retry_window_ms));
+  ConfigureRetries();
   m_hedges.SetQuantile(m_settings.m_hedge_quantile);
   m_suspects.SetLimit(m_settings.m_quarantine_breaks);
   ApplyEndpoints(m_pool.m_discovered ? m_live : PoolEndpoints(set), now);
@@ -59,7 +60,7 @@
     const Endpoint& object = set.m_endpoints.at(name);
     LiveEndpoint endpoint;
     endpoint.m_name = name;
-    endpoint.m_service = m_service;
+    endpoint.m_service = m_part.m_service;
     endpoint.m_address = object.m_address;
     endpoint.m_port = object.m_port;
     endpoint.m_zone = object.m_zone;
@@ -74,14 +75,19 @@
   m_endpoints.Configure(endpoints, m_settings.m_floor, now);
 }
 
-void FairDispatcher::SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, Instant now,
-                                      DispatchEffects& out) {
+void FairDispatcher::ConfigureRetries() {
+  // The burst is the service's, so its parts share it.
+  m_retry_budget.Configure(m_settings.m_retry_ratio, m_settings.m_retry_burst / m_parts,
+                           std::chrono::milliseconds(m_settings.m_retry_window_ms));
+}
+
+void FairDispatcher::SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, std::int64_t parts,
+                                      Instant now, DispatchEffects& out) {
   m_listed = true;
-  m_live.clear();
-  for (const auto& endpoint : endpoints) {
-    if (endpoint.m_service == m_service) m_live.push_back(endpoint);
-  }
+  m_parts = parts;
+  m_live = endpoints;
   if (!m_pool.m_discovered) return;
+  ConfigureRetries();
   ApplyEndpoints(m_live, now);
   Pump(now, out);
 }
@@ -140,6 +146,28 @@
   return ReturnTime(ExpectedWait(state->second), service_time, Hash64(pending.m_request.m_request_id));
 }
 
+std::int64_t FairDispatcher::Queued() const {
+  std::int64_t queued = 0;
+  for (const auto& [name, state] : m_classes) queued += state.m_queue.Size();
+  return queued;
+}
+
+bool FairDispatcher::MoveElsewhere(const Pending& pending, Instant now, DispatchEffects& out) {
+  if (!pending.m_request.m_may_move || !m_listed) return false;
+  const auto sound_slots = static_cast<double>(m_endpoints.SoundSlots());
+  if (sound_slots > 0 && static_cast<double>(Queued()) <= sound_slots * kBacklogToMove) return false;
+  DecisionRecord record = MakeRecord(pending, now);
+  record.m_outcome = Info(ResultCode::kOtherPart).m_name;
+  out.emplace_back(FinishRequest{pending.m_request.m_request_id,
+                                 static_cast<std::int64_t>(ResultCode::kOtherPart),
+                                 0,
+                                 0,
+                                 false,
+                                 std::move(record),
+                                 {}});
+  return true;
+}
+
 bool FairDispatcher::WouldBeLate(const Pending& pending, const ClassState& state, Instant now) const {
   // Before the first list nothing is known of what waits; the queue is given back if none comes.
   if (m_pool.m_discovered && !m_listed) return false;
@@ -161,8 +189,13 @@
   DecisionRecord record = MakeRecord(pending, now);
   record.m_outcome = Info(code).m_name;
   NoteOutcome(false, now);
-  out.emplace_back(FinishRequest{pending.m_request.m_request_id, static_cast<std::int64_t>(code),
-                                 TimeToReturn(pending).count() / 1000, 0, false, record});
+  out.emplace_back(FinishRequest{pending.m_request.m_request_id,
+                                 static_cast<std::int64_t>(code),
+                                 TimeToReturn(pending).count() / 1000,
+                                 0,
+                                 false,
+                                 record,
+                                 {}});
   return true;
 }
 
@@ -172,6 +205,7 @@
   Pending pending;
   pending.m_request = request;
   pending.m_arrival = now;
+  if (MoveElsewhere(pending, now, out)) return;
   pending.m_arrival_sequence = m_next_arrival++;
   const auto& accounts = m_table->Set().m_accounts;
   if (const auto account = accounts.find(request.m_account); account != accounts.end()) {
@@ -255,10 +289,8 @@
   const double time_to_wait = retry ? kRetryTimeToWait : kTimeToWait;
   if (now + FromSeconds(usual_time * time_to_wait) >= request.m_deadline) return 1;
   if (retry) return kDoubtAtBacklog;
-  std::int64_t queued = 0;
-  for (const auto& [name, state] : m_classes) queued += state.m_queue.Size();
   // What the sound endpoints can't do in time may as well be tried at the others.
-  const double backlog = static_cast<double>(queued + 1) * usual_time / sound_slots;
+  const double backlog = static_cast<double>(Queued() + 1) * usual_time / sound_slots;
   const double target = static_cast<double>(request.m_target_latency_ms) / kMillisecondsPerSecond;
   const double limit = std::max(usual_time, target - usual_time * kTimeInTarget);
   if (backlog >= limit) return 1;
@@ -323,7 +355,8 @@
   record.m_dispatcher = m_node;
   record.m_sequence = m_next_sequence++;
   record.m_revision = m_table->Revision();
-  record.m_service = m_service;
+  record.m_service = m_part.m_service;
+  record.m_part_zone = m_part.m_zone;
   record.m_route = pending.m_request.m_route;
   record.m_class_name = pending.m_request.m_class_name;
   record.m_account = pending.m_request.m_account;
@@ -380,9 +413,13 @@
   record.m_retries_left = m_retry_budget.Left(now);
   const std::string request_id = pending.m_request.m_request_id;
   AbandonAttempts(pending, out);
-  out.emplace_back(FinishRequest{request_id, static_cast<std::int64_t>(code),
-                                 std::max<std::int64_t>(1, retry_after.count() / 1000), 0,
-                                 pending.m_maybe_ran, std::move(record)});
+  out.emplace_back(FinishRequest{request_id,
+                                 static_cast<std::int64_t>(code),
+                                 std::max<std::int64_t>(1, retry_after.count() / 1000),
+                                 0,
+                                 pending.m_maybe_ran,
+                                 std::move(record),
+                                 {}});
   m_pending.erase(request_id);
 }
 
@@ -471,8 +508,8 @@
 
 DispatcherLoad FairDispatcher::Load(Instant) const {
   DispatcherLoad load;
-  load.m_service = m_service;
-  for (const auto& [name, state] : m_classes) load.m_queued += state.m_queue.Size();
+  load.m_service = NameOf(m_part);
+  load.m_queued = Queued();
   load.m_running = m_endpoints.TotalBusy();
   load.m_slots = m_endpoints.TotalUsable();
   load.m_slots_in_service = m_health.SlotsInService();
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -22,12 +22,13 @@
 /// free for short work by measured demand, early refusal, budgeted retries and isolation of suspects.
 class FairDispatcher final : public Dispatcher {
  public:
+  /// @param part Service whose requests it gets, or a part of one.
   /// @param node Name of the node, for decision records.
   /// @param zone Availability zone of the node.
-  FairDispatcher(std::string service, std::string node, const std::string& zone, HealthSettings health = {});
+  FairDispatcher(ServicePart part, std::string node, const std::string& zone, HealthSettings health = {});
 
   void Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) override;
-  void SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, Instant now,
+  void SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, std::int64_t parts, Instant now,
                         DispatchEffects& out) override;
   void Enqueue(const DispatchRequest& request, Instant now, DispatchEffects& out) override;
   void Cancel(const std::string& request_id, Instant now, DispatchEffects& out) override;
@@ -100,6 +101,10 @@
   void UpdateBounds(Instant now);
   Duration ExpectedWait(const ClassState& state) const;
   Duration TimeToReturn(const Pending& pending) const;
+  /// Gives a request to another part of the service while this one has no room for it.
+  bool MoveElsewhere(const Pending& pending, Instant now, DispatchEffects& out);
+  std::int64_t Queued() const;
+
   /// Whether a request can't be served in time by what is known now.
   bool WouldBeLate(const Pending& pending, const ClassState& state, Instant now) const;
   bool RefuseEarly(const Pending& pending, const ClassState& state, Instant now, DispatchEffects& out);
@@ -118,6 +123,7 @@
   double MostDoubt(const Pending& pending, double usual_time, Instant now) const;
   void NoteOutcome(bool served, Instant now);
   std::vector<LiveEndpoint> PoolEndpoints(const ObjectSet& set) const;
+  void ConfigureRetries();
   void ApplyEndpoints(const std::vector<LiveEndpoint>& endpoints, Instant now);
   DecisionRecord MakeRecord(const Pending& pending, Instant now);
   void AddPassedOver(const Choice& choice, const Pending& pending, DecisionRecord& record);
@@ -146,7 +152,8 @@
   void DropQueued(Pending& pending);
   Duration ProgressTimeout(const Pending& pending);
 
-  std::string m_service;
+  ServicePart m_part;
+  std::int64_t m_parts = 1;  ///< Dispatchers among which the service's endpoints are split.
   std::string m_node;
   std::shared_ptr<const RouteTable> m_table;
   Service m_settings;
--- a/fescueramp/journal/decision_record.h
+++ b/fescueramp/journal/decision_record.h
@@ -55,6 +55,7 @@
   std::int64_t m_sequence = 0;  ///< Order of decisions at the dispatcher.
   std::int64_t m_revision = 0;  ///< Configuration in force.
   std::string m_service;
+  std::string m_part_zone;  ///< Zone whose endpoints the dispatcher has; empty for all of the service's.
   std::string m_route;
   std::string m_class_name;
   std::string m_account;
@@ -75,9 +76,9 @@
   std::vector<PassedOver> m_passed_over;
 };
 BOOST_DESCRIBE_STRUCT(DecisionRecord, (),
-                      (m_request_id, m_entry_node, m_dispatcher, m_sequence, m_revision, m_service, m_route,
-                       m_class_name, m_account, m_weight, m_arrival, m_decided, m_arrival_sequence,
-                       m_start_tag, m_attempt, m_endpoint, m_outcome, m_rule, m_slots, m_busy,
-                       m_doubt_permille, m_retries_left, m_classes, m_passed_over))
+                      (m_request_id, m_entry_node, m_dispatcher, m_sequence, m_revision, m_service,
+                       m_part_zone, m_route, m_class_name, m_account, m_weight, m_arrival, m_decided,
+                       m_arrival_sequence, m_start_tag, m_attempt, m_endpoint, m_outcome, m_rule, m_slots,
+                       m_busy, m_doubt_permille, m_retries_left, m_classes, m_passed_over))
 
 }  // namespace fescueramp
--- a/fescueramp/node/entry_requests.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -9,6 +9,7 @@
 namespace {
 
 constexpr std::int64_t kMaxForwards = 6;
+constexpr std::int64_t kMostRedirects = 2;  ///< To the zone's part, and to another one when that is full.
 constexpr std::size_t kMaxIdempotencyKey = 128;
 constexpr std::uint64_t kSplitSeed = 7;  ///< Keeps the choice among split services apart from other hashes.
 constexpr Duration kAnswerMargin =
@@ -106,9 +107,38 @@
   return request;
 }
 
+void EntryRequests::ChoosePart(OpenRequest& open) const {
+  DispatchRequest& request = open.m_request;
+  request.m_part_zone.clear();
+  request.m_may_move = false;
+  const auto known = m_part_zones.find(request.m_service);
+  if (known == m_part_zones.end()) return;
+  std::vector<std::string> zones = known->second;
+  const Member& self = m_membership.Self();
+  if (open.m_full_zone.empty()) {
+    request.m_part_zone = ServingZone(zones, self.m_zone, self.m_node);
+    request.m_may_move = zones.size() > 1;
+    return;
+  }
+  std::erase(zones, open.m_full_zone);
+  // By request rather than by node: what one zone can't serve is spread over all others.
+  request.m_part_zone = ServingZone(zones, {}, request.m_request_id);
+}
+
+void EntryRequests::NoteRedirect(OpenRequest& open, const std::vector<std::string>& zones) {
+  ++open.m_redirects;
+  const std::string& asked = open.m_request.m_part_zone;
+  if (std::find(zones.begin(), zones.end(), asked) != zones.end()) open.m_full_zone = asked;
+  if (zones.empty())
+    m_part_zones.erase(open.m_request.m_service);
+  else
+    m_part_zones[open.m_request.m_service] = zones;
+}
+
 void EntryRequests::Forward(const std::string& request_id, Instant now, Effects& out) {
   OpenRequest& open = m_open.at(request_id);
-  const std::string node = m_ownership.ReachableOwner(open.m_request.m_service, now);
+  ChoosePart(open);
+  const std::string node = m_ownership.ReachableOwner(PartOf(open.m_request), now);
   const auto member = m_membership.Members().find(node);
   if (member == m_membership.Members().end()) {
     const ResultCode code = CodeWithoutAnswer(open, now);
@@ -120,8 +150,11 @@
   // Each forward has an id of its own, so that a late answer to an earlier one can't be taken for it.
   DispatchRequest request = open.m_request;
   // A node that is asked in place of the owner must not pass the request on to it.
-  const bool owner_passed_over = node != m_ownership.Owner(request.m_service);
-  request.m_forwards = open.m_forwards + (owner_passed_over ? 1 : 0);
+  const bool owner_passed_over = node != m_ownership.Owner(PartOf(request));
+  // A dispatcher that named another part is no reason for the next one to keep what isn't its own, but nodes
+  // that disagree for long must not send a request round.
+  const std::int64_t redirects = std::min(open.m_redirects, kMostRedirects);
+  request.m_forwards = open.m_forwards - redirects + (owner_passed_over ? 1 : 0);
   request.m_max_attempts -= open.m_attempts;
   if (open.m_forwards > 1) request.m_request_id += "." + std::to_string(open.m_forwards);
   out.emplace_back(ForwardRequest{request_id, node, member->second.m_address, member->second.m_link_port,
@@ -165,6 +198,9 @@
       // It leaves, or can't reach its endpoints: the next one is asked first for a while.
       m_ownership.MarkUnreachable(event.m_node, now);
       break;
+    case ForwardOutcome::kRedirected:
+      NoteRedirect(open, event.m_part_zones);
+      break;
     case ForwardOutcome::kTimedOut:
       open.m_maybe_ran = open.m_maybe_ran || event.m_permitted;
       break;
--- a/fescueramp/node/entry_requests.h
+++ b/fescueramp/node/entry_requests.h
@@ -38,7 +38,9 @@
     std::string m_group;
     std::int64_t m_max_body_bytes = 0;
     std::int64_t m_forwards = 0;
-    std::int64_t m_attempts = 0;  ///< Attempts that earlier dispatchers announced.
+    std::int64_t m_attempts = 0;   ///< Attempts that earlier dispatchers announced.
+    std::int64_t m_redirects = 0;  ///< Forwards that ended with the name of another part.
+    std::string m_full_zone;       ///< Zone whose part had no room; empty when none was asked in vain.
     bool m_maybe_ran = false;
   };
   struct AccountState {
@@ -51,6 +53,10 @@
   DispatchRequest MakeRequest(const RequestReceived& event, const RouteTable& table,
                               const RouteTable::Match& match, const std::string& account, Instant now) const;
   void Forward(const std::string& request_id, Instant now, Effects& out);
+
+  /// Chooses the part of the service that a request goes to next.
+  void ChoosePart(OpenRequest& open) const;
+  void NoteRedirect(OpenRequest& open, const std::vector<std::string>& zones);
   void Refuse(const std::string& request_id, ResultCode code, Duration retry_after, Effects& out,
               bool maybe_ran = false);
   void Close(const std::string& request_id);
@@ -61,6 +67,8 @@
   bool m_claims;
   std::unordered_map<std::string, OpenRequest> m_open;
   std::unordered_map<std::string, AccountState> m_accounts;
+  /// Zones that have parts, by service, as dispatchers told last.
+  std::unordered_map<std::string, std::vector<std::string>> m_part_zones;
 };
 
 }  // namespace fescueramp
--- a/fescueramp/node/events.h
+++ b/fescueramp/node/events.h
@@ -42,14 +42,15 @@
   kConnectFailed,  ///< Nothing was sent.
   kLinkLost,       ///< The stream ended before the answer.
   kHandedBack,     ///< The dispatcher gives the request back; it did not run there.
+  kRedirected,     ///< Another part of the service shall serve it; it did not run.
   kTimedOut,       ///< The deadline passed.
   kCallerLeft,     ///< The caller closed its connection.
 };
 
 template <>
 struct EnumTable<ForwardOutcome> {
-  static constexpr std::array<std::string_view, 6> kNames = {"answered",    "connect_failed", "link_lost",
-                                                             "handed_back", "timed_out",      "caller_left"};
+  static constexpr std::array<std::string_view, 7> kNames = {
+      "answered", "connect_failed", "link_lost", "handed_back", "redirected", "timed_out", "caller_left"};
 };
 
 /// Passing a request to a dispatcher has ended.
@@ -59,11 +60,13 @@
   std::string m_node;
   ForwardOutcome m_outcome = ForwardOutcome::kAnswered;
   bool m_body_replayable = true;
-  bool m_permitted = true;      ///< Whether the dispatcher was allowed to start the work.
-  std::int64_t m_attempts = 0;  ///< Attempts that the dispatcher announced.
+  bool m_permitted = true;                     ///< Whether the dispatcher was allowed to start the work.
+  std::int64_t m_attempts = 0;                 ///< Attempts that the dispatcher announced.
+  std::vector<std::string> m_part_zones = {};  ///< When redirected: zones that have parts of the service.
 };
 BOOST_DESCRIBE_STRUCT(ForwardEnded, (),
-                      (m_request_id, m_node, m_outcome, m_body_replayable, m_permitted, m_attempts))
+                      (m_request_id, m_node, m_outcome, m_body_replayable, m_permitted, m_attempts,
+                       m_part_zones))
 
 /// A node has passed a request to this one.
 struct DispatchArrived {
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -87,9 +87,8 @@
 void NodeReducer::On(const ForwardEnded& event, Instant now) { m_entry.EndForward(event, now, m_effects); }
 
 void NodeReducer::On(const DispatchArrived& event, Instant now) {
-  const std::string& service = event.m_request.m_service;
   const std::string& self = m_settings.m_self.m_node;
-  const std::string owner = m_ownership.ReachableOwner(service, now);
+  const std::string owner = m_ownership.ReachableOwner(PartOf(event.m_request), now);
   // What another dispatcher gave back stays here; that one may be the owner.
   const bool pass_on = event.m_hops < kMaxHops && event.m_request.m_forwards <= 1;
   if (owner != self && !owner.empty() && pass_on) {
@@ -110,7 +109,8 @@
 }
 
 void NodeReducer::Accept(const DispatchRequest& request, Instant now) {
-  Dispatcher* dispatcher = DispatcherOf(request.m_service, now);
+  if (Misplaced(request)) return FinishRedirected(request);
+  Dispatcher* dispatcher = DispatcherOf(PartOf(request), now);
   if (!dispatcher || m_leaving) return FinishAtDispatcher(request.m_request_id, ResultCode::kNotReady);
   const bool declines =
       request.m_forwards <= 1 && m_membership.OwnerCandidates().size() > 1 && dispatcher->PathsTroubled(now);
@@ -121,12 +121,48 @@
     m_claims[request.m_request_id] = {request, false, false, 0};
     return ClaimLogOf(request.m_service).Claim(request.m_claim_key, request.m_request_id, now);
   }
-  m_service_of[request.m_request_id] = request.m_service;
+  m_part_of[request.m_request_id] = NameOf(PartOf(request));
   DispatchEffects out;
   dispatcher->Enqueue(request, now, out);
   Run(std::move(out), now);
 }
 
+bool NodeReducer::Misplaced(const DispatchRequest& request) const {
+  // What another dispatcher gave back stays here, as in every other case.
+  if (request.m_forwards > 1 || m_live_version == 0) return false;
+  const auto& zones = PartZones(request.m_service);
+  if (zones.empty()) return !request.m_part_zone.empty();
+  return std::find(zones.begin(), zones.end(), request.m_part_zone) == zones.end();
+}
+
+const std::vector<std::string>& NodeReducer::PartZones(const std::string& service) const {
+  static const std::vector<std::string> kNone;
+  const auto split = m_splits.find(service);
+  return split == m_splits.end() ? kNone : split->second.Zones();
+}
+
+void NodeReducer::UpdateSplits() {
+  if (!m_table || m_live_version == 0) return;
+  for (const auto& [name, service] : m_table->Set().m_services) {
+    if (service.m_part_endpoints > 0) {
+      m_splits[name].Update(m_live_endpoints, name, service.m_part_endpoints);
+    }
+  }
+}
+
+void NodeReducer::GiveEndpoints(const OpenPart& open, Dispatcher& dispatcher, Instant now,
+                                DispatchEffects& out) {
+  if (m_live_version == 0) return;
+  const ServiceSplit& split = m_splits[open.m_part.m_service];
+  const auto parts = std::max<std::int64_t>(1, std::ssize(split.Zones()));
+  dispatcher.SetLiveEndpoints(split.EndpointsOf(open.m_part, m_live_endpoints), parts, now, out);
+}
+
+void NodeReducer::FinishRedirected(const DispatchRequest& request) {
+  FinishAtDispatcher(request.m_request_id, ResultCode::kOtherPart);
+  std::get<FinishRequest>(m_effects.back()).m_part_zones = PartZones(request.m_service);
+}
+
 void NodeReducer::FinishAtDispatcher(const std::string& request_id, ResultCode code,
                                      std::int64_t recorded_status) {
   DecisionRecord record;
@@ -135,25 +171,26 @@
   record.m_revision = Revision();
   record.m_outcome = Info(code).m_name;
   m_effects.emplace_back(
-      FinishRequest{request_id, static_cast<std::int64_t>(code), 0, recorded_status, false, record});
+      FinishRequest{request_id, static_cast<std::int64_t>(code), 0, recorded_status, false, record, {}});
 }
 
-Dispatcher* NodeReducer::DispatcherOf(const std::string& service, Instant now) {
-  if (!m_table || !m_table->Set().m_services.contains(service)) return nullptr;
-  m_dispatcher_used[service] = now;
-  auto& dispatcher = m_dispatchers[service];
+Dispatcher* NodeReducer::DispatcherOf(const ServicePart& part, Instant now) {
+  if (!m_table || !m_table->Set().m_services.contains(part.m_service)) return nullptr;
+  const std::string name = NameOf(part);
+  OpenPart& open = m_parts.try_emplace(name, OpenPart{part, now, now}).first->second;
+  open.m_used = now;
+  auto& dispatcher = m_dispatchers[name];
   if (!dispatcher) {
-    m_dispatcher_opened[service] = now;
     const Member& self = m_settings.m_self;
     if (m_settings.m_policy == PolicyKind::kBaseline) {
       const auto seed = static_cast<std::uint32_t>(m_settings.m_random_seed);
-      dispatcher = std::make_unique<BaselineDispatcher>(service, self.m_node, seed);
+      dispatcher = std::make_unique<BaselineDispatcher>(part.m_service, self.m_node, seed);
     } else {
-      dispatcher = std::make_unique<FairDispatcher>(service, self.m_node, self.m_zone);
+      dispatcher = std::make_unique<FairDispatcher>(part, self.m_node, self.m_zone);
     }
     DispatchEffects out;
     dispatcher->Configure(m_table, out, now);
-    if (m_live_version > 0) dispatcher->SetLiveEndpoints(m_live_endpoints, now, out);
+    GiveEndpoints(open, *dispatcher, now, out);
     for (const auto& endpoint : m_membership.LeavingEndpoints())
       dispatcher->SetLeaving(endpoint, true, now, out);
   }
@@ -179,8 +216,8 @@
     claim->second.m_cancelled = true;
     return;
   }
-  const auto service = m_service_of.find(event.m_request_id);
-  if (service == m_service_of.end()) return;
+  const auto service = m_part_of.find(event.m_request_id);
+  if (service == m_part_of.end()) return;
   DispatchEffects out;
   m_dispatchers.at(service->second)->Cancel(event.m_request_id, now, out);
   Run(std::move(out), now);
@@ -188,7 +225,7 @@
 
 void NodeReducer::On(const AttemptEnded& event, Instant now) {
   // The request may have ended already; its attempt still holds a slot.
-  const auto dispatcher = m_dispatchers.find(event.m_result.m_service);
+  const auto dispatcher = m_dispatchers.find(event.m_result.m_part);
   if (dispatcher == m_dispatchers.end()) return;
   if (const auto claim = m_claims.find(event.m_result.m_request_id); claim != m_claims.end()) {
     claim->second.m_status = event.m_result.m_status;
@@ -200,12 +237,15 @@
 
 void NodeReducer::Run(DispatchEffects effects, Instant now) {
   for (auto& effect : effects) {
-    if (const auto* finish = std::get_if<FinishRequest>(&effect)) {
+    if (auto* finish = std::get_if<FinishRequest>(&effect)) {
+      if (finish->m_code == static_cast<std::int64_t>(ResultCode::kOtherPart)) {
+        finish->m_part_zones = PartZones(finish->m_record.m_service);
+      }
       SettleClaim(finish->m_request_id, false, finish->m_code, now);
-      m_service_of.erase(finish->m_request_id);
+      m_part_of.erase(finish->m_request_id);
     } else if (const auto* deliver = std::get_if<DeliverAnswer>(&effect)) {
       SettleClaim(deliver->m_request_id, true, 0, now);
-      m_service_of.erase(deliver->m_request_id);
+      m_part_of.erase(deliver->m_request_id);
     }
     std::visit([&](auto& item) { m_effects.emplace_back(std::move(item)); }, effect);
   }
@@ -250,13 +290,13 @@
 void NodeReducer::StartClaimed(HeldClaim& claim, Instant now) {
   const DispatchRequest request = claim.m_request;
   claim.m_granted = true;
-  Dispatcher* dispatcher = claim.m_cancelled ? nullptr : DispatcherOf(request.m_service, now);
+  Dispatcher* dispatcher = claim.m_cancelled ? nullptr : DispatcherOf(PartOf(request), now);
   if (!dispatcher) {
     // Nobody waits for it, or its service is gone: the claim is given back.
     SettleClaim(request.m_request_id, false, static_cast<std::int64_t>(ResultCode::kNotRun), now);
     return FinishAtDispatcher(request.m_request_id, ResultCode::kNotRun);
   }
-  m_service_of[request.m_request_id] = request.m_service;
+  m_part_of[request.m_request_id] = NameOf(PartOf(request));
   DispatchEffects out;
   dispatcher->Enqueue(request, now, out);
   Run(std::move(out), now);
@@ -299,15 +339,18 @@
     return;
   }
   m_effects.emplace_back(ReportConfiguration{event.m_revision, {}});
-  for (auto& [service, dispatcher] : m_dispatchers) {
+  UpdateSplits();
+  const auto& services = m_table->Set().m_services;
+  for (auto& [name, dispatcher] : m_dispatchers) {
     // A service that was removed finishes what it has under the objects it had.
-    if (!m_table->Set().m_services.contains(service)) continue;
+    if (!services.contains(m_parts.at(name).m_part.m_service)) continue;
     DispatchEffects out;
     dispatcher->Configure(m_table, out, now);
+    GiveEndpoints(m_parts.at(name), *dispatcher, now, out);
     Run(std::move(out), now);
   }
-  std::erase_if(m_dispatchers, [&](const auto& item) {
-    return !m_table->Set().m_services.contains(item.first) && item.second->Idle();
+  CloseDispatchers([&](const OpenPart& open, const Dispatcher& dispatcher) {
+    return !services.contains(open.m_part.m_service) && dispatcher.Idle();
   });
   m_membership.AnnounceRevision(event.m_revision, now);
 }
@@ -336,9 +379,10 @@
   if (event.m_version < m_live_version) return;
   m_live_version = event.m_version;
   m_live_endpoints = event.m_endpoints;
-  for (auto& [service, dispatcher] : m_dispatchers) {
+  UpdateSplits();
+  for (auto& [name, dispatcher] : m_dispatchers) {
     DispatchEffects out;
-    dispatcher->SetLiveEndpoints(m_live_endpoints, now, out);
+    GiveEndpoints(m_parts.at(name), *dispatcher, now, out);
     Run(std::move(out), now);
   }
 }
@@ -354,7 +398,7 @@
   m_membership.Leave(MemberState::kLeaving, now);
   for (auto& [service, dispatcher] : m_dispatchers) {
     for (const auto& request_id : dispatcher->ReleaseQueue()) {
-      m_service_of.erase(request_id);
+      m_part_of.erase(request_id);
       FinishAtDispatcher(request_id, ResultCode::kNotReady);
     }
   }
@@ -363,7 +407,7 @@
 void NodeReducer::CheckShutdown(Instant now) {
   if (!m_leaving || m_shutdown_reported) return;
   const bool idle =
-      m_entry.Empty() && m_service_of.empty() && m_claims.empty() &&
+      m_entry.Empty() && m_part_of.empty() && m_claims.empty() &&
       std::all_of(m_claim_logs.begin(), m_claim_logs.end(), [](const auto& k) { return k.second->Idle(); });
   if (!idle) return;
   m_shutdown_reported = true;
@@ -384,23 +428,30 @@
   m_opened_members = members;
   m_opened_revision = Revision();
   for (const auto& [service, object] : m_table->Set().m_services) {
-    if (m_ownership.Owner(service) == m_settings.m_self.m_node) DispatcherOf(service, now);
+    if (m_ownership.Owner({service, {}}) == m_settings.m_self.m_node) DispatcherOf({service, {}}, now);
   }
 }
 
+void NodeReducer::CloseDispatchers(
+    const std::function<bool(const OpenPart& open, const Dispatcher& dispatcher)>& closes) {
+  std::erase_if(m_dispatchers,
+                [&](const auto& item) { return closes(m_parts.at(item.first), *item.second); });
+  std::erase_if(m_parts, [&](const auto& item) { return !m_dispatchers.contains(item.first); });
+}
+
 void NodeReducer::CloseUnusedServices(Instant now) {
-  std::erase_if(m_dispatchers, [&](const auto& item) {
-    const bool unused = now - m_dispatcher_used[item.first] > kUnusedDispatcherTime;
-    return unused && item.second->Idle() && m_ownership.Owner(item.first) != m_settings.m_self.m_node;
+  CloseDispatchers([&](const OpenPart& open, const Dispatcher& dispatcher) {
+    const bool unused = now - open.m_used > kUnusedDispatcherTime;
+    return unused && dispatcher.Idle() && m_ownership.Owner(open.m_part) != m_settings.m_self.m_node;
   });
 }
 
 void NodeReducer::ReleaseBlindQueues(Instant now) {
   if (m_live_version > 0 || m_membership.OwnerCandidates().size() <= 1) return;
-  for (auto& [service, dispatcher] : m_dispatchers) {
-    if (now - m_dispatcher_opened[service] < kBlindTime) continue;
+  for (auto& [name, dispatcher] : m_dispatchers) {
+    if (now - m_parts.at(name).m_opened < kBlindTime) continue;
     for (const auto& request_id : dispatcher->ReleaseQueue()) {
-      m_service_of.erase(request_id);
+      m_part_of.erase(request_id);
       FinishAtDispatcher(request_id, ResultCode::kNotReady);
     }
   }
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <functional>
 #include <map>
 #include <memory>
 #include <string>
@@ -60,7 +61,7 @@
   bool Ready() const { return m_table != nullptr && m_settled && !m_leaving; }
   bool Leaving() const { return m_leaving; }
   const std::map<std::string, std::unique_ptr<Dispatcher>>& Dispatchers() const { return m_dispatchers; }
-  std::string OwnerOf(const std::string& service) const { return m_ownership.Owner(service); }
+  std::string OwnerOf(const std::string& service) const { return m_ownership.Owner({service, {}}); }
 
  private:
   /// A claim of a request at this dispatcher.
@@ -71,6 +72,13 @@
     std::int64_t m_status = 0;  ///< HTTP status of the last answer; 0 when there is none.
   };
 
+  /// A part of a service that this node dispatches, beside its dispatcher.
+  struct OpenPart {
+    ServicePart m_part;
+    Instant m_opened{};
+    Instant m_used{};  ///< Time of the last request.
+  };
+
   void NotePause(Instant now);
   void On(const Tick& event, Instant now);
   void On(const RequestReceived& event, Instant now);
@@ -89,7 +97,16 @@
   void On(const ShutdownRequested& event, Instant now);
 
   void Accept(const DispatchRequest& request, Instant now);
-  Dispatcher* DispatcherOf(const std::string& service, Instant now);
+  Dispatcher* DispatcherOf(const ServicePart& part, Instant now);
+
+  /// Whether a request is meant for a part that its service does not have, as far as this node knows.
+  bool Misplaced(const DispatchRequest& request) const;
+  const std::vector<std::string>& PartZones(const std::string& service) const;
+  void UpdateSplits();
+  void FinishRedirected(const DispatchRequest& request);
+  void CloseDispatchers(
+      const std::function<bool(const OpenPart& open, const Dispatcher& dispatcher)>& closes);
+  void GiveEndpoints(const OpenPart& open, Dispatcher& dispatcher, Instant now, DispatchEffects& out);
   ClaimLog& ClaimLogOf(const std::string& service);
   void Run(DispatchEffects effects, Instant now);
   void SettleClaim(const std::string& request_id, bool delivered, std::int64_t code, Instant now);
@@ -117,16 +134,16 @@
   Ownership m_ownership;
   EntryRequests m_entry;
   std::shared_ptr<const RouteTable> m_table;
-  std::map<std::string, std::unique_ptr<Dispatcher>> m_dispatchers;
+  std::map<std::string, std::unique_ptr<Dispatcher>> m_dispatchers;  ///< By name of the part.
   std::map<std::string, std::unique_ptr<ClaimLog>> m_claim_logs;
-  std::map<std::string, HeldClaim> m_claims;                  ///< By request id.
-  std::unordered_map<std::string, std::string> m_service_of;  ///< Service of requests at a dispatcher.
-  std::map<std::string, DispatchRequest> m_relayed;           ///< Requests passed on to their owner.
+  std::map<std::string, HeldClaim> m_claims;               ///< By request id.
+  std::unordered_map<std::string, std::string> m_part_of;  ///< Name of the part, by request id.
+  std::map<std::string, DispatchRequest> m_relayed;        ///< Requests passed on to their owner.
   std::vector<LiveEndpoint> m_live_endpoints;
   std::int64_t m_live_version = 0;
   std::int64_t m_store_operations = 0;
-  std::map<std::string, Instant> m_dispatcher_used;    ///< Last work of each dispatcher, by service.
-  std::map<std::string, Instant> m_dispatcher_opened;  ///< By service.
+  std::map<std::string, OpenPart> m_parts;       ///< By name of the part.
+  std::map<std::string, ServiceSplit> m_splits;  ///< By service.
   bool m_settled = false;  ///< Whether other nodes were looked for; without discovery from the start.
   Instant m_first_event{};
   WatchScope m_watching;
--- a/fescueramp/node/ownership.cc
+++ b/fescueramp/node/ownership.cc
@@ -21,19 +21,29 @@
   return nodes;
 }
 
-const std::vector<std::string>& Ownership::OrderOf(const std::string& service) const {
+std::vector<std::string> Ownership::MakeOrder(const std::string& group, const std::string& zone) const {
+  std::vector<std::string> order = WeightedRendezvousOrder("group/" + group, Candidates());
+  if (zone.empty()) return order;
+  std::stable_partition(order.begin(), order.end(), [&](const std::string& node) {
+    return m_membership.Members().at(node).m_zone == zone;
+  });
+  return order;
+}
+
+const std::vector<std::string>& Ownership::OrderOf(const ServicePart& part) const {
   if (m_version != m_membership.CandidatesVersion()) {
     m_orders.clear();
     m_version = m_membership.CandidatesVersion();
   }
-  const auto [found, added] = m_orders.try_emplace(GroupOf(service));
-  if (added) found->second = WeightedRendezvousOrder("group/" + found->first, Candidates());
+  const std::string group = GroupOf(part.m_service);
+  const auto [found, added] = m_orders.try_emplace(NameOf({group, part.m_zone}));
+  if (added) found->second = MakeOrder(group, part.m_zone);
   return found->second;
 }
 
-std::string Ownership::Owner(const std::string& service) const {
+std::string Ownership::Owner(const ServicePart& part) const {
   if (m_alone) return m_membership.Self().m_node;
-  const auto& order = OrderOf(service);
+  const auto& order = OrderOf(part);
   return order.empty() ? std::string() : order.front();
 }
 
@@ -48,9 +58,9 @@
   return true;
 }
 
-std::string Ownership::ReachableOwner(const std::string& service, Instant now) {
+std::string Ownership::ReachableOwner(const ServicePart& part, Instant now) {
   if (m_alone) return m_membership.Self().m_node;
-  for (const auto& node : OrderOf(service)) {
+  for (const auto& node : OrderOf(part)) {
     if (Reachable(node, now)) return node;
   }
   return {};
--- a/fescueramp/node/ownership.h
+++ b/fescueramp/node/ownership.h
@@ -4,6 +4,7 @@
 #include <string>
 #include <vector>
 
+#include "fescueramp/config/service_part.h"
 #include "fescueramp/core/time.h"
 #include "fescueramp/membership/membership.h"
 #include "fescueramp/routing/rendezvous.h"
@@ -21,13 +22,13 @@
   /// Group of services that share a dispatcher and a claim log.
   std::string GroupOf(const std::string& service) const;
 
-  /// Owner by membership alone.
-  std::string Owner(const std::string& service) const;
+  /// Owner by membership alone. A zone's part belongs to a node of that zone as long as it has one.
+  std::string Owner(const ServicePart& part) const;
 
   /// The first node in order that is not known to be out of reach; empty when there is none.
   /// A node out of reach gets one request as a trial now and then; the others pass it by until that is
   /// answered.
-  std::string ReachableOwner(const std::string& service, Instant now);
+  std::string ReachableOwner(const ServicePart& part, Instant now);
 
   /// Notes that a node could not be reached from here. The mark lasts while others suspect the node as well.
   void MarkUnreachable(const std::string& node, Instant now) { m_unreachable[node] = now + kUnreachableTime; }
@@ -38,7 +39,8 @@
 
   bool Reachable(const std::string& node, Instant now);
   std::vector<WeightedNode> Candidates() const;
-  const std::vector<std::string>& OrderOf(const std::string& service) const;
+  std::vector<std::string> MakeOrder(const std::string& group, const std::string& zone) const;
+  const std::vector<std::string>& OrderOf(const ServicePart& part) const;
 
   const Membership& m_membership;
   std::int64_t m_groups;
@@ -46,7 +48,7 @@
   std::map<std::string, Instant> m_unreachable;
   mutable std::int64_t m_version = -1;
   mutable std::map<std::string, std::vector<std::string>>
-      m_orders;  ///< By group, for one version of the members.
+      m_orders;  ///< By group and zone, for one version of the members.
 };
 
 }  // namespace fescueramp
--- a/unit_tests/broken_dispatcher.h
+++ b/unit_tests/broken_dispatcher.h
@@ -23,15 +23,15 @@
   };
 
   explicit BrokenDispatcher(Fault fault)
-      : m_fault(fault), m_inner(std::make_unique<FairDispatcher>("work", "n0", "az0")) {}
+      : m_fault(fault), m_inner(std::make_unique<FairDispatcher>(ServicePart{"work", {}}, "n0", "az0")) {}
 
   void Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) override {
     m_inner->Configure(std::move(table), out, now);
   }
 
-  void SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, Instant now,
+  void SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, std::int64_t parts, Instant now,
                         DispatchEffects& out) override {
-    m_inner->SetLiveEndpoints(endpoints, now, out);
+    m_inner->SetLiveEndpoints(endpoints, parts, now, out);
     Break(out);
   }
 
--- a/unit_tests/dispatch_harness.cc
+++ b/unit_tests/dispatch_harness.cc
@@ -5,7 +5,7 @@
 DispatchHarness::DispatchHarness(int endpoints, int slots, std::unique_ptr<Dispatcher> dispatcher,
                                  bool by_belief)
     : m_slots(slots), m_by_belief(by_belief), m_dispatcher(std::move(dispatcher)) {
-  if (!m_dispatcher) m_dispatcher = std::make_unique<FairDispatcher>("work", "n0", "az0");
+  if (!m_dispatcher) m_dispatcher = std::make_unique<FairDispatcher>(ServicePart{"work", {}}, "n0", "az0");
   DispatchEffects out;
   m_dispatcher->Configure(SmallTable(endpoints, slots, m_by_belief), out, m_clock.Now());
   Apply(std::move(out));
