Don't eject cold endpoints as slow, and let a second dispatcher give work back

Change: answers of cold endpoints say nothing about their speed; two dispatchers may give work back for paths in trouble, and entry hosts count the nodes that they pass over. A part that is no more serves with all endpoints.

--- a/fescueramp/config/service_part.cc
+++ b/fescueramp/config/service_part.cc
@@ -34,10 +34,11 @@
 
 std::vector<LiveEndpoint> ServiceSplit::EndpointsOf(const ServicePart& part,
                                                     const std::vector<LiveEndpoint>& endpoints) const {
+  // A part that is no more serves with all endpoints what it is asked for all the same.
+  const bool whole = std::find(m_zones.begin(), m_zones.end(), part.m_zone) == m_zones.end();
   std::vector<LiveEndpoint> found;
   for (const auto& endpoint : endpoints) {
     if (endpoint.m_service != part.m_service) continue;
-    const bool whole = part.m_zone.empty() || m_zones.empty();
     if (whole || ServingZone(m_zones, endpoint.m_zone, endpoint.m_name) == part.m_zone) {
       found.push_back(endpoint);
     }
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -38,6 +38,10 @@
                        m_claim_key, m_fingerprint, m_deadline, m_caller_id, m_target_latency_ms,
                        m_max_attempts, m_forwards, m_revision, m_part_zone, m_may_move))
 
+/// Dispatchers that may give a request back for paths in trouble; the next one keeps it, as the endpoints
+/// themselves are then likely to be down.
+inline constexpr std::int64_t kMostGivenBack = 2;
+
 /// Part of its service that shall serve a request.
 inline ServicePart PartOf(const DispatchRequest& request) { return {request.m_service, request.m_part_zone}; }
 
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -157,6 +157,11 @@
   }
 }
 
+bool EndpointTable::Cold(const std::string& endpoint, Instant at) const {
+  const auto found = m_slots.find(endpoint);
+  return found != m_slots.end() && found->second.m_placement.Cold(at);
+}
+
 bool EndpointTable::Leaving(const std::string& endpoint) const {
   const auto found = m_slots.find(endpoint);
   return found != m_slots.end() && found->second.m_leaving;
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -75,6 +75,9 @@
   void Observe(const std::string& endpoint, Evidence evidence, double relative_time, Instant started,
                Instant now);
 
+  /// Whether an endpoint did not run at full speed at a time.
+  bool Cold(const std::string& endpoint, Instant at) const;
+
   /// Whether an endpoint takes no new work.
   bool Leaving(const std::string& endpoint) const;
 
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -99,8 +99,8 @@
   for (const auto& [id, pending] : m_pending) {
     const DispatchRequest& request = pending.m_request;
     const bool unstarted = pending.m_running.empty() && !pending.m_maybe_ran;
-    // A claim is this node's; and what has come from another dispatcher stays here.
-    const bool free = request.m_claim_key == 0 && request.m_forwards <= 1;
+    // A claim is this node's.
+    const bool free = request.m_claim_key == 0 && request.m_forwards <= kMostGivenBack;
     if (unstarted && free) waiting.push_back(id);
   }
   for (const auto& id : waiting) {
@@ -115,15 +115,18 @@
   if (result.m_draining) m_endpoints.SetLeaving(attempt.m_endpoint, true, now);
   // An attempt that spans a pause of this node says nothing about the endpoint.
   if (attempt.m_started < m_last_pause) return;
+  const bool cold = m_endpoints.Cold(attempt.m_endpoint, attempt.m_started);
   if (result.m_outcome == AttemptOutcome::kShed) {
     m_endpoints.NoteRefused(attempt.m_endpoint, now);
   } else if (result.m_outcome != AttemptOutcome::kCancelled) {
     const double usual = UsualTime(pending.m_request);
-    const double relative = usual > 0 ? ToSeconds(result.m_latency) / usual : 0;
+    // How long it takes while it is cold says nothing about how it runs.
+    const double relative = usual > 0 && !cold ? ToSeconds(result.m_latency) / usual : 0;
     const Evidence evidence = EvidenceOf(result.m_outcome, relative);
     const bool timed = evidence == Evidence::kGood || evidence == Evidence::kSlow;
     m_endpoints.Observe(attempt.m_endpoint, evidence, timed ? relative : 0, attempt.m_started, now);
   }
+  if (cold && result.m_outcome == AttemptOutcome::kAnswered) return;
   const std::string& work = pending.m_request.m_route;
   ReportChanges(m_health.Observe(attempt.m_endpoint, work, result.m_outcome, result.m_latency, now), out);
 }
--- a/fescueramp/dispatch/placement.cc
+++ b/fescueramp/dispatch/placement.cc
@@ -20,8 +20,8 @@
 constexpr double kRefusalCost = 0.2;    ///< Cost of a refusal: a retry of the fleet's budget, and a delay.
 constexpr double kSpreadBonus = 2.0;    ///< Outweighs every other cost.
 constexpr double kUnsoundDoubt = 0.5;   ///< Doubt from which an endpoint is not taken for sound.
-constexpr double kUnusedCost = 0.2;      ///< Gain of an endpoint that is due, a second without work.
-constexpr double kMostUnused = 5;        ///< Seconds without work beyond which the gain grows no more.
+constexpr double kUnusedCost = 0.2;     ///< Gain of an endpoint that is due, a second without work.
+constexpr double kMostUnused = 5;       ///< Seconds without work beyond which the gain grows no more.
 /// Longest time without work of a sound endpoint: the operators' floor counts over any 2 s.
 constexpr Duration kSoundPeriod = std::chrono::milliseconds(1500);
 /// The same of one in serious doubt: an endpoint that recovered counts for the floor 2 s later, and must have
@@ -55,7 +55,7 @@
 bool PlacementState::DueForSpread(const Need& need, const Load& load, Instant now) const {
   if (load.m_busy >= load.m_slots) return false;
   if (need.m_try_all) return now - m_last_used > (Sound(now) ? kSoundPeriod : kDoubtPeriod);
-  const bool cold = now < m_warm_at && !need.m_repeatable;
+  const bool cold = Cold(now) && !need.m_repeatable;
   return Sound(now) && !cold && now - m_last_used > kSoundPeriod;
 }
 
@@ -65,7 +65,7 @@
   double time = m_relative_time;
   if (load.m_longest_running > kOverdueTime)
     time = std::max(time, std::min(load.m_longest_running, kMostTime));
-  if (now < m_warm_at) time *= kColdFactor;
+  if (Cold(now)) time *= kColdFactor;
   const double fullness =
       static_cast<double>(load.m_busy) / static_cast<double>(std::max<std::int64_t>(1, load.m_slots));
   const double cost = failure + kRefusalCost * RefusedShare(now) + kTimeCost * time + kFullerCost * fullness;
--- a/fescueramp/dispatch/placement.h
+++ b/fescueramp/dispatch/placement.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <algorithm>
+
 #include "fescueramp/core/time.h"
 #include "fescueramp/health/gray_filter.h"
 
@@ -37,8 +39,11 @@
   /// Notes that work was sent.
   void NoteUse(Instant now) { m_last_used = now; }
 
-  /// Notes the time from which the endpoint runs at full speed.
-  void SetWarmAt(Instant warm_at) { m_warm_at = warm_at; }
+  /// Notes the time from which the endpoint runs at full speed; a later report without one doesn't undo it.
+  void SetWarmAt(Instant warm_at) { m_warm_at = std::max(m_warm_at, warm_at); }
+
+  /// Whether the endpoint did not run at full speed at a time.
+  bool Cold(Instant at) const { return at < m_warm_at; }
 
   /// Cost of sending a request here; the endpoint with the lowest cost is chosen. Fails count most, then
   /// time.
--- a/fescueramp/node/entry_requests.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -150,11 +150,11 @@
   // Each forward has an id of its own, so that a late answer to an earlier one can't be taken for it.
   DispatchRequest request = open.m_request;
   // A node that is asked in place of the owner must not pass the request on to it.
-  const bool owner_passed_over = node != m_ownership.Owner(PartOf(request));
   // A dispatcher that named another part is no reason for the next one to keep what isn't its own, but nodes
   // that disagree for long must not send a request round.
   const std::int64_t redirects = std::min(open.m_redirects, kMostRedirects);
-  request.m_forwards = open.m_forwards - redirects + (owner_passed_over ? 1 : 0);
+  request.m_forwards =
+      std::max(open.m_forwards - redirects, 1 + m_ownership.NodesBefore(PartOf(request), node));
   request.m_max_attempts -= open.m_attempts;
   if (open.m_forwards > 1) request.m_request_id += "." + std::to_string(open.m_forwards);
   out.emplace_back(ForwardRequest{request_id, node, member->second.m_address, member->second.m_link_port,
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -112,8 +112,8 @@
   if (Misplaced(request)) return FinishRedirected(request);
   Dispatcher* dispatcher = DispatcherOf(PartOf(request), now);
   if (!dispatcher || m_leaving) return FinishAtDispatcher(request.m_request_id, ResultCode::kNotReady);
-  const bool declines =
-      request.m_forwards <= 1 && m_membership.OwnerCandidates().size() > 1 && dispatcher->PathsTroubled(now);
+  const bool declines = request.m_forwards <= kMostGivenBack && m_membership.OwnerCandidates().size() > 1 &&
+                        dispatcher->PathsTroubled(now);
   if (declines) return FinishAtDispatcher(request.m_request_id, ResultCode::kNotReady);
   const bool claims =
       m_settings.m_claims && !request.m_repeatable && m_settings.m_policy == PolicyKind::kFair;
--- a/fescueramp/node/ownership.cc
+++ b/fescueramp/node/ownership.cc
@@ -47,6 +47,12 @@
   return order.empty() ? std::string() : order.front();
 }
 
+std::int64_t Ownership::NodesBefore(const ServicePart& part, const std::string& node) const {
+  if (m_alone) return 0;
+  const auto& order = OrderOf(part);
+  return std::find(order.begin(), order.end(), node) - order.begin();
+}
+
 bool Ownership::Reachable(const std::string& node, Instant now) {
   const auto mark = m_unreachable.find(node);
   if (mark == m_unreachable.end()) return true;
--- a/fescueramp/node/ownership.h
+++ b/fescueramp/node/ownership.h
@@ -30,6 +30,9 @@
   /// answered.
   std::string ReachableOwner(const ServicePart& part, Instant now);
 
+  /// Nodes before this one in the order of the part.
+  std::int64_t NodesBefore(const ServicePart& part, const std::string& node) const;
+
   /// Notes that a node could not be reached from here. The mark lasts while others suspect the node as well.
   void MarkUnreachable(const std::string& node, Instant now) { m_unreachable[node] = now + kUnreachableTime; }
   void MarkReachable(const std::string& node) { m_unreachable.erase(node); }
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -72,7 +72,7 @@
 
  private:
   static std::string SetText() {
-    return R"({"pools":{"work":{"discovered":true,"slots":1}},"services":{"work":{"pool":"work"}},
+    return R"({"pools":{"work":{"discovered":true,"slots":1}},"services":{"work":{"pool":"work","part_endpoints":10}},
       "priorities":{"filing":{"rank":0,"max_wait_ms":3600000}},
       "routes":{"file":{"method":"POST","path_prefix":"/file","service":"work","priority":"filing",
                         "repeatable":false,"max_attempts":2,"target_latency_ms":600},
@@ -222,6 +222,54 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(EndpointThatIsStillColdIsNotEjectedAsSlow) {
+  // Recorded: endpoints that had just started took twice as long, were ejected for it and got nothing for 5
+  // s.
+  DiscoveryNode node(0);
+  std::vector<LiveEndpoint> endpoints = {Live("i-1"), Live("i-2"), Live("i-3"), Live("i-4"), Live("i-5")};
+  endpoints[4].m_warm_at = node.Now() + seconds(60);
+  node.Post(EndpointsListed{1, endpoints});
+  std::vector<ReportHealth> changes;
+  for (int i = 0; i < 600; ++i) {
+    const std::string id = "x-" + std::to_string(i);
+    for (auto& change : node.Run<ReportHealth>(milliseconds(50))) changes.push_back(std::move(change));
+    const auto started =
+        DiscoveryNode::Select<StartAttempt>(node.Post(DispatchArrived{Filing(id, node.Now(), 2), 0}));
+    BOOST_REQUIRE(started.size() == 1U);
+    const bool cold = started[0].m_endpoint == "i-5";
+    const AttemptResult result{
+        id, "work", 1, AttemptOutcome::kAnswered, 200, milliseconds(cold ? 300 + i % 7 : 100 + i % 7)};
+    for (auto& change : DiscoveryNode::Select<ReportHealth>(node.Post(AttemptEnded{result}))) {
+      changes.push_back(std::move(change));
+    }
+  }
+  BOOST_TEST(changes.empty());
+}
+
+/// A request at a dispatcher that can't reach some of its endpoints, and whether it is given back.
+struct CutDispatcher {
+  std::int64_t m_forwards;
+  bool m_given_back;
+};
+
+std::ostream& operator<<(std::ostream& out, const CutDispatcher& row) { return out << row.m_forwards; }
+
+const CutDispatcher kCutDispatchers[] = {{1, true}, {2, true}, {3, false}};
+
+BOOST_DATA_TEST_CASE(ThirdDispatcherKeepsWhatTwoGaveBack, boost::unit_test::data::make(kCutDispatchers),
+                     row) {
+  // Recorded: the two hosts that were first in order were both cut from the same endpoints.
+  DiscoveryNode node(2);
+  node.Post(EndpointsListed{1, {Live("i-1"), Live("i-2"), Live("i-3")}});
+  for (const char* id : {"x-1", "x-2"}) {
+    node.Post(DispatchArrived{Filing(id, node.Now(), 3), 1});
+    node.Post(AttemptEnded{AttemptResult{id, "work", 1, AttemptOutcome::kUnreachable, 0, milliseconds(250)}});
+  }
+  const auto finished = DiscoveryNode::Select<FinishRequest>(
+      node.Post(DispatchArrived{Filing("x-3", node.Now(), row.m_forwards), 1}));
+  BOOST_TEST(finished.size() == (row.m_given_back ? 1U : 0U));
+}
+
 BOOST_AUTO_TEST_CASE(StandInKeepsWorkThatTheOwnerWasPassedOverFor) {
   DiscoveryNode node(8);
   node.Post(EndpointsListed{1, {Live("i-1")}});
@@ -238,6 +286,131 @@
   const ForwardRequest next = node.File("n0-2");
   BOOST_TEST(next.m_node != first.m_node);
   BOOST_TEST(next.m_request.m_forwards == 2);
+  node.Post(ForwardEnded{"n0-2", next.m_node, ForwardOutcome::kHandedBack, true, false, 0});
+  const ForwardRequest last = node.File("n0-3");
+  BOOST_TEST(last.m_request.m_forwards == 3);
+}
+
+/// Twelve endpoints in each of four zones.
+std::vector<LiveEndpoint> LiveInZones() {
+  std::vector<LiveEndpoint> endpoints;
+  for (int i = 0; i < 48; ++i) {
+    endpoints.push_back(Live("i-" + std::to_string(i)));
+    endpoints.back().m_zone = "az" + std::to_string(i % 4);
+  }
+  return endpoints;
+}
+
+DispatchRequest PartFiling(const std::string& id, Instant now, const std::string& zone, bool may_move) {
+  DispatchRequest request = Filing(id, now);
+  request.m_part_zone = zone;
+  request.m_may_move = may_move;
+  return request;
+}
+
+/// What a dispatcher is asked for while a service is split into four zones, and what it does.
+struct PartAsked {
+  const char* m_zone;
+  std::int64_t m_forwards;
+  bool m_redirected;
+};
+
+std::ostream& operator<<(std::ostream& out, const PartAsked& row) {
+  return out << "'" << row.m_zone << "' forwards=" << row.m_forwards;
+}
+
+const PartAsked kPartsAsked[] = {
+    {"", 1, true}, {"az0", 1, false}, {"nowhere", 1, true}, {"", 2, false}, {"nowhere", 2, false}};
+
+BOOST_DATA_TEST_CASE(DispatcherNamesThePartsOfASplitService, boost::unit_test::data::make(kPartsAsked), row) {
+  DiscoveryNode node(0);
+  node.Post(EndpointsListed{1, LiveInZones()});
+  DispatchRequest request = PartFiling("x-1", node.Now(), row.m_zone, false);
+  request.m_forwards = row.m_forwards;
+  const Effects effects = node.Post(DispatchArrived{request, 0});
+  const auto finished = DiscoveryNode::Select<FinishRequest>(effects);
+  if (!row.m_redirected) {
+    BOOST_TEST(finished.empty());
+    BOOST_TEST(DiscoveryNode::Select<StartAttempt>(effects).size() == 1U);
+    return;
+  }
+  BOOST_REQUIRE(finished.size() == 1U);
+  BOOST_TEST(finished[0].m_code == static_cast<std::int64_t>(ResultCode::kOtherPart));
+  BOOST_TEST(!finished[0].m_maybe_ran);
+  BOOST_TEST(finished[0].m_part_zones.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(PartUsesOnlyTheEndpointsOfItsZone) {
+  DiscoveryNode node(0);
+  node.Post(EndpointsListed{1, LiveInZones()});
+  std::set<std::string> used;
+  for (int i = 0; i < 24; ++i) {
+    const auto started = DiscoveryNode::Select<StartAttempt>(
+        node.Post(DispatchArrived{PartFiling("x-" + std::to_string(i), node.Now(), "az2", false), 0}));
+    BOOST_REQUIRE(started.size() == 1U);
+    used.insert(started[0].m_endpoint);
+    BOOST_TEST(std::stoi(started[0].m_endpoint.substr(2)) % 4 == 2);
+  }
+  BOOST_TEST(used.size() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(FullPartSendsWorkElsewhereThatMayMove) {
+  // Recorded: the callers of one zone move to another for some seconds.
+  DiscoveryNode node(0);
+  node.Post(EndpointsListed{1, LiveInZones()});
+  std::size_t started = 0;
+  std::size_t moved = 0;
+  for (int i = 0; i < 60; ++i) {
+    const Effects effects =
+        node.Post(DispatchArrived{PartFiling("x-" + std::to_string(i), node.Now(), "az1", true), 0});
+    started += DiscoveryNode::Select<StartAttempt>(effects).size();
+    moved += DiscoveryNode::Select<FinishRequest>(effects).size();
+  }
+  BOOST_TEST(started == 24U);
+  // A few wait: a slot comes free soon.
+  BOOST_TEST(moved >= 25U);
+  BOOST_TEST(moved <= 36U);
+}
+
+BOOST_AUTO_TEST_CASE(EntryHostFollowsRedirectsAndSpreadsWhatAZoneCantServe) {
+  DiscoveryNode node(8);
+  const std::vector<std::string> zones = {"az0", "az1", "az2", "az3"};
+  const ForwardRequest first = node.File("n0-1");
+  BOOST_TEST(first.m_request.m_part_zone.empty());
+  const auto again = [&](const std::string& id, const std::string& dispatcher) {
+    const ForwardEnded ended{id, dispatcher, ForwardOutcome::kRedirected, true, false, 0, zones};
+    return DiscoveryNode::Select<ForwardRequest>(node.Post(ended)).at(0);
+  };
+  const ForwardRequest second = again("n0-1", first.m_node);
+  BOOST_TEST(second.m_request.m_part_zone == "az0");
+  BOOST_TEST(second.m_request.m_may_move);
+  BOOST_TEST(second.m_request.m_forwards == 1);
+  std::set<std::string> others;
+  for (int i = 2; i < 40; ++i) {
+    const std::string id = "n0-" + std::to_string(i);
+    const ForwardRequest own = node.File(id);
+    BOOST_TEST(own.m_request.m_part_zone == "az0");
+    const ForwardRequest other = again(id, own.m_node);
+    BOOST_TEST(!other.m_request.m_may_move);
+    others.insert(other.m_request.m_part_zone);
+  }
+  BOOST_TEST(others == (std::set<std::string>{"az1", "az2", "az3"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(SplitHasSomeSlack) {
+  // Endpoints come and go; parts must not.
+  std::vector<LiveEndpoint> endpoints = LiveInZones();
+  ServiceSplit split;
+  split.Update(endpoints, "work", 12);
+  BOOST_TEST(split.Zones().size() == 4U);
+  for (auto& endpoint : endpoints) endpoint.m_leaving = std::stoi(endpoint.m_name.substr(2)) < 12;
+  split.Update(endpoints, "work", 12);
+  BOOST_TEST(split.Zones().size() == 4U);
+  ServiceSplit fresh;
+  fresh.Update(endpoints, "work", 12);
+  BOOST_TEST(fresh.Zones().empty());
+  split.Update(endpoints, "work", 0);
+  BOOST_TEST(split.Zones().empty());
 }
 
 BOOST_AUTO_TEST_CASE(NodeIsReadyOnlyAfterItHasLookedForOthers) {
