Give endpoints of which nothing is known one request each until the first answer

Cause: after all hosts restart, a quarter of the endpoints reset what they get; each got as many requests as it had slots before the first answer came, since no usual time was known and the prior doubt counted as little. Change: the bound for endpoints in doubt lies below the prior; before the first answer the target says how long work takes.

--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -9,8 +9,9 @@
 
 constexpr double kOtherZoneCost = 0.03;  ///< Cost of another zone: an answer crosses once more.
 constexpr double kNoHelpDoubt = 0.6;     ///< Doubt above which an endpoint is no help against a backlog.
-constexpr double kTrialDoubt = 0.27;     ///< Doubt above which an endpoint gets one request at a time.
-constexpr std::size_t kMaxScan = 256;    ///< Endpoints looked at for one request.
+/// Doubt above which an endpoint gets one request at a time: below that of one of which nothing is known.
+constexpr double kTrialDoubt = 0.2;
+constexpr std::size_t kMaxScan = 256;                              ///< Endpoints looked at for one request.
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(40);  ///< After the first failed connect.
 constexpr Duration kRefusalPause =
     std::chrono::milliseconds(10);  ///< A slot comes free every few such times.
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -19,6 +19,8 @@
 constexpr double kDoubtAtBacklog =
     0.65;  ///< Doubt that work avoids while the backlog can still be done in time.
 constexpr double kMillisecondsPerSecond = 1000;
+constexpr double kTargetForWork =
+    0.33;  ///< Share of the target that work is taken to need before any was done.
 constexpr double kTimeInTarget = 1.5;  ///< Multiple of the usual time kept of the target for the work itself.
 constexpr double kRetryTimeToWait = 1.2;  ///< The same for a request that has failed once.
 constexpr double kTimeToWait = 3;         ///< Work can wait while this multiple of its usual time is left.
@@ -275,7 +277,7 @@
   need.m_placement.m_try_all = unserved > kSpreadShare * (unserved + m_served.PerSecond(now));
   need.m_usual_time = UsualTime(request);
   need.m_by_belief = m_settings.m_by_belief;
-  if (need.m_by_belief) need.m_most_doubt = MostDoubt(pending, need.m_usual_time, now);
+  if (need.m_by_belief) need.m_most_doubt = MostDoubt(pending, ExpectedTime(request), now);
   need.m_avoid = &pending.m_failed_endpoints;
   return need;
 }
@@ -299,6 +301,12 @@
 
 void FairDispatcher::NoteOutcome(bool served, Instant now) { (served ? m_served : m_unserved).Add(now); }
 
+double FairDispatcher::ExpectedTime(const DispatchRequest& request) const {
+  const double usual = UsualTime(request);
+  const double target = static_cast<double>(request.m_target_latency_ms) / kMillisecondsPerSecond;
+  return usual > 0 ? usual : target * kTargetForWork;
+}
+
 double FairDispatcher::UsualTime(const DispatchRequest& request) const {
   const auto found = m_route_service_time.find(request.m_route);
   return found == m_route_service_time.end() ? 0 : found->second.Value();
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -148,6 +148,9 @@
   void ObserveHealth(const Pending& pending, const Attempt& attempt, const AttemptResult& result, Instant now,
                      DispatchEffects& out);
   double UsualTime(const DispatchRequest& request) const;
+
+  /// The usual time, or a guess from the target before any is known; 0 when there is none.
+  double ExpectedTime(const DispatchRequest& request) const;
   void ReportChanges(const std::vector<HealthChange>& changes, DispatchEffects& out);
   void DropQueued(Pending& pending);
   Duration ProgressTimeout(const Pending& pending);
