--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -62,6 +62,9 @@
   while (!m_last_request_read && !m_dead) {
     if (!co_await WaitForRequest()) break;
     if (!co_await TakeRequest()) break;
+    // A client that always has requests open would never get a last answer; what it sends behind this one is
+    // unread, and it may send that again.
+    if (m_draining) m_last_request_read = true;
     // The next request begins where this one's body ends.
     const auto exchange = m_open.empty() ? nullptr : m_open.back();
     while (exchange && !exchange->BodyRead() && !exchange->Finished() && !m_dead) co_await m_changed.Wait();
--- a/unit_tests/pipeline_test.cc
+++ b/unit_tests/pipeline_test.cc
@@ -138,6 +138,22 @@
   BOOST_TEST(server.Closed());
 }
 
+BOOST_AUTO_TEST_CASE(DrainingConnectionReadsOneMoreRequestAtMost) {
+  // Recorded: a client that always had requests open was served until the process ended.
+  ManualServer server;
+  server.SendGet("/1");
+  server.Server().Drain();
+  server.SendGet("/2");
+  server.SendGet("/3");
+  BOOST_TEST(server.Begun().size() == 2U);
+  server.Answer("/1");
+  server.Answer("/2");
+  const std::string received = server.Received();
+  BOOST_TEST(received.find("body of /2") != std::string::npos);
+  BOOST_TEST(received.find("Connection: close") != std::string::npos);
+  BOOST_TEST(server.Begun().size() == 2U);
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionWithAnOpenRequestIsNotClosedAsIdle) {
   ManualServer server;
   server.SendGet("/1");
