Use no idle connections while endpoints forget them, and add a randomized soak

Change: IdleTrust counts resets of long idle connections to endpoints in no doubt, and bounds the idle time while a third of them are reset. bench/run.sh soak plays overlapping series of faults against real processes.

--- a/bench/fleet.py
+++ b/bench/fleet.py
@@ -229,7 +229,8 @@
         http("POST", pool.control_port, "/", json.dumps({"endpoint": index, "faults": faults}))
 
     def cut(self, index, direction):
-        """Cuts traffic towards ("to") or from ("from") a node's advertised port, or mends it ("none")."""
+        """Cuts traffic towards ("to") or from ("from") a node's advertised port, silences, resets or delays its
+        connections ("silent", "reset", "delay"), or mends it ("none")."""
         http("POST", self.cut_control, "/", json.dumps({"port": self.cut_port(index), "cut": direction}))
 
     def services(self, node=0):
--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -7,6 +7,7 @@
 
 import fleet_scenarios  # noqa: F401, registers its scenarios
 import policy_scenarios  # noqa: F401, registers its scenarios
+import soak  # noqa: F401, registers its scenario
 from registry import SCENARIOS, WORK
 
 
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -140,6 +140,7 @@
                           {"outcome", EnumName(result.m_outcome)},
                           {"status", result.m_status},
                           {"latency_ms", result.m_latency.count() / 1000},
+                          {"idle_ms", result.m_idle.count() / 1000},
                           {"waited_ms", (record.m_decided - record.m_arrival).count() / 1000},
                           {"rule", EnumName(record.m_rule)},
                           {"doubt_permille", record.m_doubt_permille},
@@ -191,7 +192,9 @@
     call->m_permit_asked = true;
     if (call->m_permit_needed) co_await WaitForPermit(call);
     if (attempt->m_cancelled) throw HttpError("given up before it was sent", false);
-    attempt->m_connection = m_context.m_endpoints->Take(effect.m_address, port, effect.m_fresh_connection);
+    attempt->m_connection =
+        m_context.m_endpoints->Take(effect.m_address, port, effect.m_fresh_connection, effect.m_most_idle);
+    result.m_idle = std::chrono::duration_cast<Duration>(attempt->m_connection->m_was_idle);
     co_await attempt->m_connection->m_connection.Connect(std::min(kConnectTimeout, TimeLeft(effect)));
     // The last look at the clock before anything is sent: a node that was paused must not send late.
     if (m_context.m_clock->Now() >= effect.m_deadline) throw HttpError("deadline has passed", false);
--- a/fescueramp/dispatch/baseline_dispatcher.cc
+++ b/fescueramp/dispatch/baseline_dispatcher.cc
@@ -60,7 +60,8 @@
   const Duration left = pending.m_request.m_deadline - now;
   out.emplace_back(StartAttempt{pending.m_request.m_request_id, pending.m_attempts, pending.m_endpoint,
                                 state.m_endpoint.m_address, state.m_endpoint.m_port, pool.m_max_connections,
-                                left, pending.m_request.m_deadline, false, std::move(record)});
+                                left, pending.m_request.m_deadline, false, std::chrono::hours(1),
+                                std::move(record)});
 }
 
 void BaselineDispatcher::Cancel(const std::string& request_id, Instant, DispatchEffects& out) {
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -57,11 +57,12 @@
   Duration m_progress_timeout{};
   Instant m_deadline{};
   bool m_fresh_connection = false;  ///< Whether the attempt needs a connection that was not long idle.
+  Duration m_most_idle{};           ///< Idle time above which no kept connection is used.
   DecisionRecord m_record;
 };
 BOOST_DESCRIBE_STRUCT(StartAttempt, (),
                       (m_request_id, m_attempt, m_endpoint, m_address, m_port, m_max_connections,
-                       m_progress_timeout, m_deadline, m_fresh_connection, m_record))
+                       m_progress_timeout, m_deadline, m_fresh_connection, m_most_idle, m_record))
 
 /// Ends a request at its dispatcher without a further attempt.
 struct FinishRequest {
@@ -114,9 +115,10 @@
   bool m_body_replayable = true;  ///< Whether the request body can be sent again.
   bool m_answer_started = false;  ///< Whether part of the answer has gone to the caller.
   bool m_draining = false;        ///< Whether the endpoint said that it is leaving.
+  Duration m_idle{};              ///< Time for which the connection was idle before; 0 for a new one.
 };
 BOOST_DESCRIBE_STRUCT(AttemptResult, (),
                       (m_request_id, m_part, m_attempt, m_outcome, m_status, m_latency, m_body_replayable,
-                       m_answer_started, m_draining))
+                       m_answer_started, m_draining, m_idle))
 
 }  // namespace fescueramp
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -334,7 +334,8 @@
   ++pending.m_runs;
   pending.m_endpoint = slots.m_name;
   const std::int64_t ticket = m_endpoints.Take(slots, request.m_class_name, pending.m_alone, now);
-  pending.m_running.push_back({pending.m_attempts, slots.m_name, request.m_class_name, ticket, now, false});
+  pending.m_running.push_back({pending.m_attempts, slots.m_name, request.m_class_name, ticket, now, false,
+                               slots.m_placement.Doubt(now)});
   ++ClassOf(request.m_class_name).m_running;
   record.m_attempt = pending.m_attempts;
   record.m_endpoint = slots.m_name;
@@ -344,7 +345,7 @@
   out.emplace_back(StartAttempt{request.m_request_id, pending.m_attempts, slots.m_name, endpoint.m_address,
                                 endpoint.m_port, m_pool.m_max_connections, ProgressTimeout(pending),
                                 request.m_deadline, !request.m_repeatable || pending.m_retries > 0,
-                                std::move(record)});
+                                m_idle_trust.MostIdle(now), std::move(record)});
 }
 
 Duration FairDispatcher::ProgressTimeout(const Pending& pending) {
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -11,6 +11,7 @@
 #include "fescueramp/dispatch/dispatcher.h"
 #include "fescueramp/dispatch/endpoint_table.h"
 #include "fescueramp/dispatch/hedge_policy.h"
+#include "fescueramp/dispatch/idle_trust.h"
 #include "fescueramp/dispatch/path_watch.h"
 #include "fescueramp/dispatch/request_queue.h"
 #include "fescueramp/dispatch/retry_budget.h"
@@ -55,6 +56,7 @@
     std::int64_t m_ticket = 0;  ///< Of its slot.
     Instant m_started{};
     bool m_overdue = false;  ///< Whether its length has been held against the endpoint.
+    double m_doubt = 0;      ///< Doubt of the endpoint at its start.
   };
 
   /// A request from its arrival to its end.
@@ -145,6 +147,7 @@
                         DispatchEffects& out);
   void FinishFailed(Pending& pending, Instant now, DispatchEffects& out);
   bool MayRetry(const Pending& pending, const AttemptResult& result, Instant now);
+  void NoteIdleUse(const Attempt& attempt, const AttemptResult& result, Instant now);
   void ObserveHealth(const Pending& pending, const Attempt& attempt, const AttemptResult& result, Instant now,
                      DispatchEffects& out);
   double UsualTime(const DispatchRequest& request) const;
@@ -171,6 +174,7 @@
   RetryBudget m_retry_budget;
   HedgePolicy m_hedges;
   PathWatch m_paths;
+  IdleTrust m_idle_trust;
   std::vector<LiveEndpoint> m_live;
   bool m_listed = false;                    ///< Whether live endpoints have been listed.
   Instant m_last_repeatable{};              ///< Arrival of the last repeatable request.
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -13,7 +13,10 @@
 constexpr double kTimeNeeded =
     0.5;  ///< Share of the usual time that must be left for an attempt to be of use.
 constexpr std::int64_t kRetriesKept = 8;  ///< Retries kept from hedging, for work that has failed.
-constexpr double kMostDoubt = 0.5;        ///< Doubt above which an endpoint gets no second attempts.
+constexpr double kLittleDoubt =
+    0.2;  ///< Doubt below which a reset is laid to the connection, if that was idle.
+constexpr Duration kAtOnce = std::chrono::milliseconds(50);  ///< Several round trips; work takes longer.
+constexpr double kMostDoubt = 0.5;  ///< Doubt above which an endpoint gets no second attempts.
 
 bool CertainlyDidNotRun(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kShed || outcome == AttemptOutcome::kConnectFailed ||
@@ -69,6 +72,7 @@
     return Pump(now, out);
   }
   Pending& pending = found->second;
+  NoteIdleUse(*attempt, result, now);
   ObserveHealth(pending, *attempt, result, now, out);
   m_endpoints.Release(attempt->m_endpoint, attempt->m_class_name, attempt->m_ticket, now);
   if (result.m_outcome == AttemptOutcome::kAnswered) {
@@ -110,6 +114,11 @@
   }
 }
 
+void FairDispatcher::NoteIdleUse(const Attempt& attempt, const AttemptResult& result, Instant now) {
+  const bool broke = result.m_outcome == AttemptOutcome::kBroken && result.m_latency < kAtOnce;
+  if (attempt.m_doubt < kLittleDoubt) m_idle_trust.Note(result.m_idle, broke, now);
+}
+
 void FairDispatcher::ObserveHealth(const Pending& pending, const Attempt& attempt,
                                    const AttemptResult& result, Instant now, DispatchEffects& out) {
   if (result.m_draining) m_endpoints.SetLeaving(attempt.m_endpoint, true, now);
--- a/fescueramp/net/endpoint_pool.cc
+++ b/fescueramp/net/endpoint_pool.cc
@@ -11,19 +11,24 @@
 }  // namespace
 
 std::shared_ptr<EndpointConnection> EndpointPool::Take(const std::string& address, std::uint16_t port,
-                                                       bool fresh) {
+                                                       bool fresh,
+                                                       std::chrono::steady_clock::duration most_idle) {
   auto& idle = m_idle[{address, port}];
   const auto now = std::chrono::steady_clock::now();
   while (!idle.empty() && now - idle.front()->m_last_used > idle.front()->m_idle_limit) idle.pop_front();
   while (!idle.empty() && !idle.back()->m_connection.StillOpen()) idle.pop_back();
   // The one used last is the likeliest to work.
-  if (!idle.empty() && (!fresh || now - idle.back()->m_last_used < idle.back()->m_idle_limit * kFreshShare)) {
-    auto connection = std::move(idle.back());
-    idle.pop_back();
-    connection->m_reused = true;
-    return connection;
-  }
-  return std::make_shared<EndpointConnection>(m_executor, address, port);
+  const bool usable = [&] {
+    if (idle.empty()) return false;
+    const auto unused = now - idle.back()->m_last_used;
+    return unused <= most_idle && (!fresh || unused < idle.back()->m_idle_limit * kFreshShare);
+  }();
+  if (!usable) return std::make_shared<EndpointConnection>(m_executor, address, port);
+  auto connection = std::move(idle.back());
+  idle.pop_back();
+  connection->m_reused = true;
+  connection->m_was_idle = now - connection->m_last_used;
+  return connection;
 }
 
 void EndpointPool::Return(const std::string& address, std::uint16_t port,
--- a/fescueramp/net/endpoint_pool.h
+++ b/fescueramp/net/endpoint_pool.h
@@ -18,6 +18,7 @@
   std::chrono::steady_clock::time_point m_opened = std::chrono::steady_clock::now();
   std::chrono::steady_clock::time_point m_last_used = std::chrono::steady_clock::now();
   std::chrono::steady_clock::duration m_idle_limit{};  ///< Time for which it may stay unused.
+  std::chrono::steady_clock::duration m_was_idle{};    ///< Time for which it was unused before it was taken.
   bool m_reused = false;  ///< Whether it carried a request before the current one.
 };
 
@@ -28,7 +29,9 @@
 
   /// An idle connection used lately, or a new one that is not connected yet.
   /// @param fresh Whether only a connection used a moment ago will do.
-  std::shared_ptr<EndpointConnection> Take(const std::string& address, std::uint16_t port, bool fresh);
+  /// @param most_idle Idle time above which none is used.
+  std::shared_ptr<EndpointConnection> Take(const std::string& address, std::uint16_t port, bool fresh,
+                                           std::chrono::steady_clock::duration most_idle);
 
   /// Gives a connection back after a whole answer.
   /// @param kept Time for which the endpoint keeps it open unused; 0 when it did not say.
--- a/stand_ins/link_cutter_main.cc
+++ b/stand_ins/link_cutter_main.cc
@@ -18,11 +18,14 @@
 using tcp = asio::ip::tcp;
 using udp = asio::ip::udp;
 
+constexpr std::chrono::milliseconds kDelay{60};  ///< Far above the delays between zones.
+
 /// One direction or both in which nothing gets through.
 struct Cut {
   bool m_to = false;                 ///< Towards the server behind the port.
   bool m_from = false;               ///< From the server to those who connected.
   std::int64_t m_silent_before = 0;  ///< Connections with a lower number are silent for good, both ways.
+  bool m_delayed = false;            ///< Whether each part is held up for a moment.
 };
 
 /// Forwards one TCP port, and one UDP port of the same number, to a server on loopback.
@@ -41,7 +44,9 @@
   void SetCut(const std::string& name) {
     m_cut.m_to = name == "to" || name == "both";
     m_cut.m_from = name == "from" || name == "both";
+    m_cut.m_delayed = name == "delay";
     if (name == "silent") m_cut.m_silent_before = m_next_connection;
+    if (name == "reset") Reset();
   }
 
  private:
@@ -52,6 +57,19 @@
     std::int64_t m_number = 0;
   };
 
+  /// Resets every open connection, on both sides.
+  void Reset() {
+    for (const auto& weak : std::exchange(m_pairs, {})) {
+      if (const auto pair = weak.lock()) {
+        for (tcp::socket* socket : {&*pair->m_client, &pair->m_server}) {
+          boost::system::error_code ignored;
+          socket->set_option(asio::socket_base::linger(true, 0), ignored);
+          socket->close(ignored);
+        }
+      }
+    }
+  }
+
   asio::awaitable<void> Accept() {
     while (true) {
       boost::system::error_code ec;
@@ -70,6 +88,8 @@
     if (ec) co_return;
     pair->m_client->set_option(tcp::no_delay(true), ec);
     pair->m_server.set_option(tcp::no_delay(true), ec);
+    std::erase_if(m_pairs, [](const auto& weak) { return weak.expired(); });
+    m_pairs.push_back(pair);
     asio::co_spawn(m_io, Copy(pair, true), asio::detached);
     asio::co_spawn(m_io, Copy(pair, false), asio::detached);
   }
@@ -94,6 +114,7 @@
       if (ec && silent) co_return;
       if (ec) break;
       if (silent) continue;
+      if (m_cut.m_delayed) co_await Sleep(kDelay);
       co_await asio::async_write(to, asio::buffer(buffer.data(), size),
                                  asio::redirect_error(asio::use_awaitable, ec));
       if (ec) break;
@@ -148,6 +169,7 @@
   std::map<udp::endpoint, std::shared_ptr<udp::socket>> m_udp_sockets;
   Cut m_cut;
   std::int64_t m_next_connection = 0;
+  std::vector<std::weak_ptr<Pair>> m_pairs;  ///< Connections that may be open.
 };
 
 int Run(std::uint16_t control_port, const std::vector<std::string>& maps) {
--- a/unit_tests/placement_test.cc
+++ b/unit_tests/placement_test.cc
@@ -6,6 +6,7 @@
 
 #include "fescueramp/core/clock.h"
 #include "fescueramp/dispatch/hedge_policy.h"
+#include "fescueramp/dispatch/idle_trust.h"
 #include "fescueramp/dispatch/path_watch.h"
 #include "fescueramp/dispatch/retry_budget.h"
 #include "fescueramp/dispatch/return_time.h"
@@ -207,6 +208,36 @@
   for (const auto& [tenth, count] : by_tenth) BOOST_TEST(count <= 40);
 }
 
+/// Work on connections that were idle, of which every n-th is reset at once, and whether such are used on.
+struct IdleUse {
+  const char* m_name;
+  Duration m_idle;
+  int m_reset_every;  ///< 0 for never.
+  bool m_trusted;
+};
+
+std::ostream& operator<<(std::ostream& out, const IdleUse& row) { return out << row.m_name; }
+
+const IdleUse kIdleUses[] = {
+    {"all answered", milliseconds(800), 0, true},
+    {"endpoints begin to fail now and then", milliseconds(800), 10, true},
+    {"half of them forget idle connections", milliseconds(800), 2, false},
+    {"connections in use all the time are reset", milliseconds(30), 2, true},
+};
+
+BOOST_DATA_TEST_CASE(ForgottenConnectionsAreNotUsed, boost::unit_test::data::make(kIdleUses), row) {
+  // Recorded: endpoints drop connections that were idle for 0.3 s; whatever comes next on one is reset.
+  ManualClock clock;
+  IdleTrust trust;
+  for (int i = 1; i <= 60; ++i) {
+    clock.Advance(milliseconds(50));
+    trust.Note(row.m_idle, row.m_reset_every > 0 && i % row.m_reset_every == 0, clock.Now());
+  }
+  BOOST_TEST((trust.MostIdle(clock.Now()) > seconds(10)) == row.m_trusted);
+  // Endpoints that keep connections again are found out by trying.
+  BOOST_TEST((trust.MostIdle(clock.Now() + seconds(10)) > seconds(10)));
+}
+
 BOOST_AUTO_TEST_CASE(HedgeComesAfterTheQuantileOrAShareOfTheTarget) {
   HedgePolicy policy;
   BOOST_TEST(policy.Delay("read", milliseconds(600)).count() > Duration(seconds(1000)).count());
