--- a/bench/soak.py
+++ b/bench/soak.py
@@ -9,7 +9,7 @@
 import checks
 from fleet import Fleet, authority_pools, example_objects, stream
 from fleet_scenarios import Watcher, race
-from registry import WORK, scenario, start_published
+from registry import POLICIES, WORK, scenario, start_published
 
 NODES = 6
 CHECK_PERIOD_S = 1.0
@@ -145,7 +145,7 @@
         source = random.Random(self.seed)
         pools = authority_pools(24000)
         work = os.path.join(WORK, "soak-%d" % self.seed)
-        with Fleet(work, nodes=NODES, pools=pools, cutters=True, seed=self.seed) as fleet:
+        with Fleet(work, nodes=NODES, pools=pools, policy=POLICIES[0], cutters=True, seed=self.seed) as fleet:
             self.fleet, fleet.objects, fleet.races = fleet, example_objects(pools), []
             start_published(fleet, fleet.objects)
             path = os.path.join(work, "outcomes.jsonl")
@@ -185,9 +185,17 @@
                     "sent": sum(r["sent"] for r in report.values()), "log": self.log if broken else []}
 
 
+def regressions():
+    """Seeds that ever failed, each with its cause on the same line."""
+    with open(os.path.join(os.path.dirname(__file__), "soak_regressions.txt")) as file:
+        return [int(line.split()[0]) for line in file if line.strip() and not line.startswith("#")]
+
+
 def seeds():
-    """Seeds from FESCUE_SEEDS, such as 1-50 or 3,7; "fresh-N" for N that were never played."""
+    """Seeds from FESCUE_SEEDS: 1-50 or 3,7; "fresh-N" for N new ones; "ci" for seed 1 and those that ever failed."""
     text = os.environ.get("FESCUE_SEEDS", "1")
+    if text == "ci":
+        return [1] + regressions()
     if text.startswith("fresh-"):
         return [random.SystemRandom().randrange(1, 10**9) for _ in range(int(text[6:]))]
     if "-" in text:
