Count one attempt more of a dispatcher that went silent

Ruled out: the death of a dispatcher; no host was stopped then, and TCP delivers what was told before a close. Change: a stream that ended in silence says so, and counts as one attempt more than was announced.

--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -142,7 +142,7 @@
     if (outcome != ForwardOutcome::kAnswered) LogForward(*call, forward, outcome);
     m_context.m_sink->Post(ForwardEnded{call->m_id, forward.m_node, told, call->m_body->Replayable(),
                                         call->m_permitted, call->m_attempts,
-                                        std::exchange(call->m_part_zones, {})});
+                                        std::exchange(call->m_part_zones, {}), call->m_silent});
     if (too_long) {
       AnswerHead result;
       result.m_code = static_cast<std::int64_t>(ResultCode::kBodyTooLarge);
@@ -189,6 +189,7 @@
   if (call->m_caller_left) co_return ForwardOutcome::kCallerLeft;
   call->m_permitted = !effect.m_withhold_permit;
   call->m_attempts = 0;
+  call->m_silent = false;
   std::shared_ptr<LinkStream> stream;
   try {
     const auto link =
@@ -227,6 +228,7 @@
   }
   call->m_timer.cancel();
   call->m_attempts = stream->Interims();
+  call->m_silent = stream->EndedInSilence();
   // What is left of the body is not wanted any more.
   stream->Reset();
   call->m_stream.reset();
@@ -331,6 +333,7 @@
                                             {"outcome", EnumName(outcome)},
                                             {"permitted", call.m_permitted},
                                             {"attempts", call.m_attempts},
+                                            {"silent", call.m_silent},
                                             {"forwards", call.m_forwards}});
 }
 
--- a/fescueramp/net/link.cc
+++ b/fescueramp/net/link.cc
@@ -219,7 +219,8 @@
       m_last_heard = now;
       continue;
     }
-    if (now - m_last_heard > kSilenceLimit) break;
+    m_silent = now - m_last_heard > kSilenceLimit;
+    if (m_silent) break;
     if (now - m_last_heard > kPingAfter) {
       nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
       Flush();
@@ -240,6 +241,7 @@
     const bool whole = stream->m_remote_finished && stream->m_local_finished &&
                        stream->m_outbox_sent == stream->m_outbox.size();
     stream->m_closed = true;
+    stream->m_silent = m_silent;
     stream->m_link = nullptr;
     if (!whole) stream->Break();
   }
--- a/fescueramp/net/link.h
+++ b/fescueramp/net/link.h
@@ -66,6 +66,9 @@
   /// Whether the peer or the link has given the stream up.
   bool Broken() const { return m_broken; }
 
+  /// Whether it ended because the peer went silent, so that what the peer told last may not have come.
+  bool EndedInSilence() const { return m_silent; }
+
   /// Is called once when the stream breaks off before both sides have finished.
   void SetBrokenHandler(std::function<void()> handler) { m_broken_handler = std::move(handler); }
 
@@ -86,6 +89,7 @@
   bool m_local_finished = false;
   bool m_deferred = false;
   bool m_broken = false;
+  bool m_silent = false;
   bool m_closed = false;
   Signal m_readable;
   Signal m_writable;
@@ -145,6 +149,7 @@
   Signal m_wants_write;
   Signal m_wants_watch;
   bool m_closed = false;
+  bool m_silent = false;  ///< Whether the peer was given up because it went silent.
   std::chrono::steady_clock::time_point m_last_heard;
 };
 
--- a/fescueramp/node/entry_requests.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -180,7 +180,7 @@
   const auto found = m_open.find(event.m_request_id);
   if (found == m_open.end()) return;
   OpenRequest& open = found->second;
-  open.m_attempts += event.m_attempts;
+  open.m_attempts += event.m_attempts + (event.m_silent ? 1 : 0);
   switch (event.m_outcome) {
     case ForwardOutcome::kAnswered:
       m_ownership.MarkReachable(event.m_node);
--- a/fescueramp/node/events.h
+++ b/fescueramp/node/events.h
@@ -63,10 +63,11 @@
   bool m_permitted = true;                     ///< Whether the dispatcher was allowed to start the work.
   std::int64_t m_attempts = 0;                 ///< Attempts that the dispatcher announced.
   std::vector<std::string> m_part_zones = {};  ///< When redirected: zones that have parts of the service.
+  bool m_silent = false;  ///< Whether the dispatcher went silent: it may have begun an attempt more.
 };
 BOOST_DESCRIBE_STRUCT(ForwardEnded, (),
                       (m_request_id, m_node, m_outcome, m_body_replayable, m_permitted, m_attempts,
-                       m_part_zones))
+                       m_part_zones, m_silent))
 
 /// A node has passed a request to this one.
 struct DispatchArrived {
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -167,6 +167,20 @@
   BOOST_TEST(DiscoveryNode::Select<RefuseRequest>(last).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(SilentDispatcherMayHaveBegunOneAttemptMoreThanItTold) {
+  // Recorded: an entry host gave a link up 22 ms after a second attempt that it had not heard of, and a third
+  // endpoint ran the request.
+  DiscoveryNode node(6);
+  const auto forward =
+      DiscoveryNode::Select<ForwardRequest>(node.Post(RequestReceived{"n0-1", "GET", "/read/1", "", "", 0}));
+  BOOST_REQUIRE(forward.size() == 1U);
+  ForwardEnded ended{"n0-1", forward[0].m_node, ForwardOutcome::kLinkLost, true, true, 1};
+  ended.m_silent = true;
+  const Effects effects = node.Post(ended);
+  BOOST_TEST(DiscoveryNode::Select<ForwardRequest>(effects).empty());
+  BOOST_TEST(DiscoveryNode::Select<RefuseRequest>(effects).size() == 1U);
+}
+
 BOOST_AUTO_TEST_CASE(WorkIsGivenBackWhileNoEndpointsAreKnown) {
   DiscoveryNode node(3);
   node.Post(DispatchArrived{Filing("x-1", node.Now(), 2), 0});
