Work out how a service is split only where that is asked

Cause: every list of endpoints was counted for every service, which 770 services and 15,000 endpoints would not bear, and a service whose split was turned off kept its parts. Change: a split is worked out when it is asked for, once a list and revision.

--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -109,7 +109,7 @@
 }
 
 void NodeReducer::Accept(const DispatchRequest& request, Instant now) {
-  if (Misplaced(request)) return FinishRedirected(request);
+  if (m_table && Misplaced(request)) return FinishRedirected(request);
   Dispatcher* dispatcher = DispatcherOf(PartOf(request), now);
   if (!dispatcher || m_leaving) return FinishAtDispatcher(request.m_request_id, ResultCode::kNotReady);
   const bool declines = request.m_forwards <= kMostGivenBack && m_membership.OwnerCandidates().size() > 1 &&
@@ -127,40 +127,36 @@
   Run(std::move(out), now);
 }
 
-bool NodeReducer::Misplaced(const DispatchRequest& request) const {
+bool NodeReducer::Misplaced(const DispatchRequest& request) {
   // What another dispatcher gave back stays here, as in every other case.
   if (request.m_forwards > 1 || m_live_version == 0) return false;
-  const auto& zones = PartZones(request.m_service);
+  const auto& zones = SplitOf(request.m_service).Zones();
   if (zones.empty()) return !request.m_part_zone.empty();
   return std::find(zones.begin(), zones.end(), request.m_part_zone) == zones.end();
 }
 
-const std::vector<std::string>& NodeReducer::PartZones(const std::string& service) const {
-  static const std::vector<std::string> kNone;
-  const auto split = m_splits.find(service);
-  return split == m_splits.end() ? kNone : split->second.Zones();
-}
-
-void NodeReducer::UpdateSplits() {
-  if (!m_table || m_live_version == 0) return;
-  for (const auto& [name, service] : m_table->Set().m_services) {
-    if (service.m_part_endpoints > 0) {
-      m_splits[name].Update(m_live_endpoints, name, service.m_part_endpoints);
-    }
-  }
+const ServiceSplit& NodeReducer::SplitOf(const std::string& service) {
+  KnownSplit& known = m_splits[service];
+  if (known.m_list_version == m_live_version && known.m_revision == Revision()) return known.m_split;
+  known.m_list_version = m_live_version;
+  known.m_revision = Revision();
+  const auto object = m_table->Set().m_services.find(service);
+  const bool exists = object != m_table->Set().m_services.end();
+  known.m_split.Update(m_live_endpoints, service, exists ? object->second.m_part_endpoints : 0);
+  return known.m_split;
 }
 
 void NodeReducer::GiveEndpoints(const OpenPart& open, Dispatcher& dispatcher, Instant now,
                                 DispatchEffects& out) {
   if (m_live_version == 0) return;
-  const ServiceSplit& split = m_splits[open.m_part.m_service];
+  const ServiceSplit& split = SplitOf(open.m_part.m_service);
   const auto parts = std::max<std::int64_t>(1, std::ssize(split.Zones()));
   dispatcher.SetLiveEndpoints(split.EndpointsOf(open.m_part, m_live_endpoints), parts, now, out);
 }
 
 void NodeReducer::FinishRedirected(const DispatchRequest& request) {
   FinishAtDispatcher(request.m_request_id, ResultCode::kOtherPart);
-  std::get<FinishRequest>(m_effects.back()).m_part_zones = PartZones(request.m_service);
+  std::get<FinishRequest>(m_effects.back()).m_part_zones = SplitOf(request.m_service).Zones();
 }
 
 void NodeReducer::FinishAtDispatcher(const std::string& request_id, ResultCode code,
@@ -216,10 +212,10 @@
     claim->second.m_cancelled = true;
     return;
   }
-  const auto service = m_part_of.find(event.m_request_id);
-  if (service == m_part_of.end()) return;
+  const auto part = m_part_of.find(event.m_request_id);
+  if (part == m_part_of.end()) return;
   DispatchEffects out;
-  m_dispatchers.at(service->second)->Cancel(event.m_request_id, now, out);
+  m_dispatchers.at(part->second)->Cancel(event.m_request_id, now, out);
   Run(std::move(out), now);
 }
 
@@ -239,7 +235,7 @@
   for (auto& effect : effects) {
     if (auto* finish = std::get_if<FinishRequest>(&effect)) {
       if (finish->m_code == static_cast<std::int64_t>(ResultCode::kOtherPart)) {
-        finish->m_part_zones = PartZones(finish->m_record.m_service);
+        finish->m_part_zones = SplitOf(finish->m_record.m_service).Zones();
       }
       SettleClaim(finish->m_request_id, false, finish->m_code, now);
       m_part_of.erase(finish->m_request_id);
@@ -339,7 +335,6 @@
     return;
   }
   m_effects.emplace_back(ReportConfiguration{event.m_revision, {}});
-  UpdateSplits();
   const auto& services = m_table->Set().m_services;
   for (auto& [name, dispatcher] : m_dispatchers) {
     // A service that was removed finishes what it has under the objects it had.
@@ -379,7 +374,6 @@
   if (event.m_version < m_live_version) return;
   m_live_version = event.m_version;
   m_live_endpoints = event.m_endpoints;
-  UpdateSplits();
   for (auto& [name, dispatcher] : m_dispatchers) {
     DispatchEffects out;
     GiveEndpoints(m_parts.at(name), *dispatcher, now, out);
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -79,6 +79,13 @@
     Instant m_used{};  ///< Time of the last request.
   };
 
+  /// How a service is split, and by what this was decided.
+  struct KnownSplit {
+    ServiceSplit m_split;
+    std::int64_t m_list_version = 0;
+    std::int64_t m_revision = 0;
+  };
+
   void NotePause(Instant now);
   void On(const Tick& event, Instant now);
   void On(const RequestReceived& event, Instant now);
@@ -100,9 +107,10 @@
   Dispatcher* DispatcherOf(const ServicePart& part, Instant now);
 
   /// Whether a request is meant for a part that its service does not have, as far as this node knows.
-  bool Misplaced(const DispatchRequest& request) const;
-  const std::vector<std::string>& PartZones(const std::string& service) const;
-  void UpdateSplits();
+  bool Misplaced(const DispatchRequest& request);
+
+  /// How a service is split, by the endpoints and the configuration known now.
+  const ServiceSplit& SplitOf(const std::string& service);
   void FinishRedirected(const DispatchRequest& request);
   void CloseDispatchers(
       const std::function<bool(const OpenPart& open, const Dispatcher& dispatcher)>& closes);
@@ -142,8 +150,8 @@
   std::vector<LiveEndpoint> m_live_endpoints;
   std::int64_t m_live_version = 0;
   std::int64_t m_store_operations = 0;
-  std::map<std::string, OpenPart> m_parts;       ///< By name of the part.
-  std::map<std::string, ServiceSplit> m_splits;  ///< By service.
+  std::map<std::string, OpenPart> m_parts;     ///< By name of the part.
+  std::map<std::string, KnownSplit> m_splits;  ///< By service.
   bool m_settled = false;  ///< Whether other nodes were looked for; without discovery from the start.
   Instant m_first_event{};
   WatchScope m_watching;
