--- a/fescueramp/dispatch/baseline_dispatcher.cc
+++ b/fescueramp/dispatch/baseline_dispatcher.cc
@@ -93,7 +93,7 @@
   } else {
     const bool repeatable = pending.m_request.m_repeatable;
     const auto code = repeatable ? ResultCode::kAnswerIncomplete : ResultCode::kOutcomeUnknown;
-    out.emplace_back(FinishRequest{result.m_request_id, static_cast<std::int64_t>(code), 1, 0, true, {}, {}});
+    out.emplace_back(FinishRequest{result.m_request_id, static_cast<std::int64_t>(code), 1, 0, true, {}});
   }
   m_pending.erase(found);
 }
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -74,7 +74,7 @@
       0;                     ///< HTTP status that earlier work with the key ended with; 0 if not known.
   bool m_maybe_ran = false;  ///< Whether an attempt may have run.
   DecisionRecord m_record;
-  std::vector<std::string> m_part_zones;  ///< For OTHER_PART: zones that have parts of the service.
+  std::vector<std::string> m_part_zones = {};  ///< For OTHER_PART: zones that have parts of the service.
 };
 BOOST_DESCRIBE_STRUCT(FinishRequest, (),
                       (m_request_id, m_code, m_retry_after_ms, m_recorded_status, m_maybe_ran, m_record,
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -167,7 +167,7 @@
   record.m_revision = Revision();
   record.m_outcome = Info(code).m_name;
   m_effects.emplace_back(
-      FinishRequest{request_id, static_cast<std::int64_t>(code), 0, recorded_status, false, record, {}});
+      FinishRequest{request_id, static_cast<std::int64_t>(code), 0, recorded_status, false, record});
 }
 
 Dispatcher* NodeReducer::DispatcherOf(const ServicePart& part, Instant now) {
--- /dev/null
+++ b/unit_tests/parts_test.cc
@@ -0,0 +1,136 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "unit_tests/discovery_node.h"
+
+namespace fescueramp {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(parts)
+
+/// Twelve endpoints in each of four zones.
+std::vector<LiveEndpoint> LiveInZones() {
+  std::vector<LiveEndpoint> endpoints;
+  for (int i = 0; i < 48; ++i) {
+    endpoints.push_back(Live("i-" + std::to_string(i)));
+    endpoints.back().m_zone = "az" + std::to_string(i % 4);
+  }
+  return endpoints;
+}
+
+DispatchRequest PartFiling(const std::string& id, Instant now, const std::string& zone, bool may_move) {
+  DispatchRequest request = Filing(id, now);
+  request.m_part_zone = zone;
+  request.m_may_move = may_move;
+  return request;
+}
+
+/// What a dispatcher is asked for while a service is split into four zones, and what it does.
+struct PartAsked {
+  const char* m_zone;
+  std::int64_t m_forwards;
+  bool m_redirected;
+};
+
+std::ostream& operator<<(std::ostream& out, const PartAsked& row) {
+  return out << "'" << row.m_zone << "' forwards=" << row.m_forwards;
+}
+
+const PartAsked kPartsAsked[] = {
+    {"", 1, true}, {"az0", 1, false}, {"nowhere", 1, true}, {"", 2, false}, {"nowhere", 2, false}};
+
+BOOST_DATA_TEST_CASE(DispatcherNamesThePartsOfASplitService, boost::unit_test::data::make(kPartsAsked), row) {
+  DiscoveryNode node(0);
+  node.Post(EndpointsListed{1, LiveInZones()});
+  DispatchRequest request = PartFiling("x-1", node.Now(), row.m_zone, false);
+  request.m_forwards = row.m_forwards;
+  const Effects effects = node.Post(DispatchArrived{request, 0});
+  const auto finished = DiscoveryNode::Select<FinishRequest>(effects);
+  if (!row.m_redirected) {
+    BOOST_TEST(finished.empty());
+    BOOST_TEST(DiscoveryNode::Select<StartAttempt>(effects).size() == 1U);
+    return;
+  }
+  BOOST_REQUIRE(finished.size() == 1U);
+  BOOST_TEST(finished[0].m_code == static_cast<std::int64_t>(ResultCode::kOtherPart));
+  BOOST_TEST(!finished[0].m_maybe_ran);
+  BOOST_TEST(finished[0].m_part_zones.size() == 4U);
+}
+
+BOOST_AUTO_TEST_CASE(PartUsesOnlyTheEndpointsOfItsZone) {
+  DiscoveryNode node(0);
+  node.Post(EndpointsListed{1, LiveInZones()});
+  std::set<std::string> used;
+  for (int i = 0; i < 12; ++i) {
+    const auto started = DiscoveryNode::Select<StartAttempt>(
+        node.Post(DispatchArrived{PartFiling("x-" + std::to_string(i), node.Now(), "az2", false), 0}));
+    BOOST_REQUIRE(started.size() == 1U);
+    used.insert(started[0].m_endpoint);
+    BOOST_TEST(std::stoi(started[0].m_endpoint.substr(2)) % 4 == 2);
+  }
+  BOOST_TEST(used.size() == 12U);
+}
+
+BOOST_AUTO_TEST_CASE(FullPartSendsWorkElsewhereThatMayMove) {
+  // Recorded: the callers of one zone move to another for some seconds.
+  DiscoveryNode node(0);
+  node.Post(EndpointsListed{1, LiveInZones()});
+  std::size_t started = 0;
+  std::size_t moved = 0;
+  for (int i = 0; i < 60; ++i) {
+    const Effects effects =
+        node.Post(DispatchArrived{PartFiling("x-" + std::to_string(i), node.Now(), "az1", true), 0});
+    started += DiscoveryNode::Select<StartAttempt>(effects).size();
+    moved += DiscoveryNode::Select<FinishRequest>(effects).size();
+  }
+  BOOST_TEST(started == 12U);
+  // A quarter as many wait as run, and one more: a slot comes free soon.
+  BOOST_TEST(moved == 44U);
+}
+
+BOOST_AUTO_TEST_CASE(EntryHostFollowsRedirectsAndSpreadsWhatAZoneCantServe) {
+  DiscoveryNode node(8);
+  const std::vector<std::string> zones = {"az0", "az1", "az2", "az3"};
+  const ForwardRequest first = node.File("n0-1");
+  BOOST_TEST(first.m_request.m_part_zone.empty());
+  const auto again = [&](const std::string& id, const std::string& dispatcher) {
+    const ForwardEnded ended{id, dispatcher, ForwardOutcome::kRedirected, true, false, 0, zones};
+    return DiscoveryNode::Select<ForwardRequest>(node.Post(ended)).at(0);
+  };
+  const ForwardRequest second = again("n0-1", first.m_node);
+  BOOST_TEST(second.m_request.m_part_zone == "az0");
+  BOOST_TEST(second.m_request.m_may_move);
+  BOOST_TEST(second.m_request.m_forwards == 1);
+  std::set<std::string> others;
+  for (int i = 2; i < 40; ++i) {
+    const std::string id = "n0-" + std::to_string(i);
+    const ForwardRequest own = node.File(id);
+    BOOST_TEST(own.m_request.m_part_zone == "az0");
+    const ForwardRequest other = again(id, own.m_node);
+    BOOST_TEST(!other.m_request.m_may_move);
+    others.insert(other.m_request.m_part_zone);
+  }
+  BOOST_TEST(others == (std::set<std::string>{"az1", "az2", "az3"}), boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(SplitHasSomeSlack) {
+  // Endpoints come and go; parts must not.
+  std::vector<LiveEndpoint> endpoints = LiveInZones();
+  ServiceSplit split;
+  split.Update(endpoints, "work", 12);
+  BOOST_TEST(split.Zones().size() == 4U);
+  for (auto& endpoint : endpoints) endpoint.m_leaving = std::stoi(endpoint.m_name.substr(2)) < 12;
+  split.Update(endpoints, "work", 12);
+  BOOST_TEST(split.Zones().size() == 4U);
+  ServiceSplit fresh;
+  fresh.Update(endpoints, "work", 12);
+  BOOST_TEST(fresh.Zones().empty());
+  split.Update(endpoints, "work", 0);
+  BOOST_TEST(split.Zones().empty());
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace fescueramp
