Read no body behind an early answer, and let the soak count nodes that end by themselves

It had aborted: the connection read what it did not want while a reader of the answered request's body read as well, and the stream bears one read at a time. Change: once the last answer is out, pending reads of bodies are ended and none begins. The new test aborts without the change.

--- a/bench/soak.py
+++ b/bench/soak.py
@@ -14,7 +14,6 @@
 NODES = 6
 CHECK_PERIOD_S = 1.0
 RECOVERY_S = 4.0  # Time after the last fault in which every node must be ready again.
-KNOWN_RED = ("not_ready",)  # Listed in KNOWN-RED.txt: CI prints these and passes over them; other runs fail.
 GRACE_S = 12.0  # Longest time that the load client waits for what is open at its end.
 
 # Kinds of fault: order to a node, its link or the store, and the shortest and longest time for which it lasts.
@@ -62,6 +61,7 @@
                 fleet.thaw(name)
                 return
             process = fleet.processes[name]
+            self.run_state.note_crash(index)
             process.kill() if kind == "kill" else process.terminate()
             process.wait()
             self.wait(NODE_FAULTS[kind])
@@ -117,9 +117,16 @@
     """One seeded run."""
 
     def __init__(self, seed, seconds):
-        self.seed, self.seconds, self.log, self.begun = seed, seconds, [], time.time()
+        self.seed, self.seconds, self.log, self.begun, self.crashed = seed, seconds, [], time.time(), 0
         self.node_locks = [threading.Lock() for _ in range(NODES)]
 
+    def note_crash(self, index):
+        """Notes a node that ended without being told to. Its lock is held, or no series runs any more."""
+        name = self.fleet.name(index)
+        if self.fleet.processes[name].poll() is not None:
+            self.crashed += 1
+            self.log.append((round(time.time() - self.begun, 2), "ended by itself", name))
+
     def breaches(self, path, final):
         """What the endpoints' logs and callers' outcomes show to be broken."""
         pools = self.fleet.pools
@@ -140,6 +147,8 @@
                 except (OSError, ValueError):
                     continue  # The node is still starting.
             time.sleep(0.1)
+        for index in waiting:
+            self.log.append((round(time.time() - self.begun, 2), "not ready", self.fleet.name(index)))
         return len(waiting)
 
     def play(self):
@@ -170,6 +179,8 @@
             for one in series:
                 one.join()
             not_ready = self.not_ready()
+            for index in range(NODES):
+                self.note_crash(index)
             report = json.loads(load.communicate()[0])
             watcher.over.set()
             watcher.join()
@@ -177,7 +188,7 @@
             wrong = sum(r["wrong"] for r in report.values())
             two_winners = sum(r.count(200) > 1 for r in fleet.races)
             problems = [one.problem for one in series if one.problem]
-            for name, count in (("wrong", wrong), ("older_revisions", watcher.older), ("not_ready", not_ready),
+            for name, count in (("wrong", wrong), ("older_revisions", watcher.older), ("not_ready", not_ready), ("crashed", self.crashed),
                                 ("below_floor", watcher.below_floor), ("two_winners", two_winners),
                                 ("soak_problems", len(problems))):
                 if count:
@@ -213,8 +224,7 @@
     for seed in seeds():
         results.append(Run(seed, seconds).play())
         print(json.dumps(results[-1]), flush=True)
-    passed_over = KNOWN_RED if os.environ.get("FESCUE_SEEDS") == "ci" else ()
-    failed = [result["seed"] for result in results if set(result["broken"]) - set(passed_over)]
+    failed = [result["seed"] for result in results if result["broken"]]
     if failed:
         raise SystemExit("soak: promises broke with seeds %s" % failed)
     return {"runs": len(results), "faults": sum(r["faults"] for r in results), "sent": sum(r["sent"] for r in results)}
--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -72,10 +72,19 @@
     while (m_open.size() >= kMaxPipelined && !m_dead) co_await m_changed.Wait();
   }
   while (!m_open.empty() && !m_dead) co_await m_changed.Wait();
+  co_await StopBodyReads();
   if (!m_dead) co_await Linger();
   Close();
 }
 
+asio::awaitable<void> ServerConnection::StopBodyReads() {
+  m_bodies_over = true;
+  while (m_body_reads > 0 && !m_dead) {
+    m_stream.cancel();
+    co_await m_changed.Wait();
+  }
+}
+
 asio::awaitable<void> ServerConnection::Linger() {
   beast::error_code ec;
   m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -53,6 +53,9 @@
   asio::awaitable<bool> TakeRequest();
   asio::awaitable<void> Serve(std::shared_ptr<ServerExchange> exchange);
 
+  /// Gives up reading a body whose request has been answered; a stream bears one read at a time.
+  asio::awaitable<void> StopBodyReads();
+
   /// Ends sending and waits a moment for the client to close, so that it gets the last answer whole.
   asio::awaitable<void> Linger();
   asio::awaitable<void> Refuse(HeaderResult result);
@@ -71,6 +74,8 @@
   bool m_last_request_read = false;  ///< Whether no further request will be read.
   bool m_reading = false;            ///< Whether a request's header is being read.
   bool m_dead = false;               ///< Whether nothing can be sent any more.
+  bool m_bodies_over = false;        ///< Whether no body is read any more.
+  int m_body_reads = 0;              ///< Reads of bodies that have not ended.
 };
 
 }  // namespace fescueramp
--- a/fescueramp/net/server_exchange.cc
+++ b/fescueramp/net/server_exchange.cc
@@ -34,10 +34,13 @@
     std::string chunk(kBodyChunk, '\0');
     m_parser->get().body().data = chunk.data();
     m_parser->get().body().size = chunk.size();
+    if (m_connection->m_bodies_over) throw beast::system_error(asio::error::operation_aborted);
     m_connection->m_stream.expires_after(m_connection->m_settings.m_body_timeout);
     beast::error_code ec;
+    ++m_connection->m_body_reads;
     co_await http::async_read(m_connection->m_stream, m_connection->m_buffer, *m_parser,
                               asio::redirect_error(asio::use_awaitable, ec));
+    if (--m_connection->m_body_reads == 0) m_connection->m_changed.Notify();
     if (ec == http::error::need_buffer) ec = {};
     if (ec) throw beast::system_error(ec);
     chunk.resize(chunk.size() - m_parser->get().body().size);
--- a/unit_tests/pipeline_test.cc
+++ b/unit_tests/pipeline_test.cc
@@ -13,6 +13,8 @@
 
 using tcp = asio::ip::tcp;
 
+const std::string kEarly = "/early";  ///< Target whose body is read only after the answer.
+
 /// A server whose requests end when the test says so, and one client.
 class ManualServer {
  public:
@@ -64,6 +66,7 @@
   HttpServer& Server() { return m_server; }
   const std::vector<std::string>& Begun() const { return m_begun; }
   int Left() const { return m_left; }
+  bool BodyGivenUp() const { return m_body_given_up; }
 
   /// Runs everything that is ready, and a little of what takes a moment.
   void Settle() {
@@ -76,6 +79,7 @@
     const std::string target = exchange->Head().m_target;
     m_begun.push_back(target);
     exchange->WatchForClose([this] { ++m_left; });
+    if (target == kEarly) asio::co_spawn(m_io, ReadLate(exchange), asio::detached);
     while (std::find(m_answered.begin(), m_answered.end(), target) == m_answered.end()) {
       co_await Sleep(std::chrono::milliseconds(1));
     }
@@ -83,10 +87,24 @@
     co_await exchange->Send(200, std::move(none), "body of " + target);
   }
 
+  /// Reads the body of a request that has been answered by then.
+  asio::awaitable<void> ReadLate(std::shared_ptr<HttpExchange> exchange) {
+    while (std::find(m_answered.begin(), m_answered.end(), kEarly) == m_answered.end()) {
+      co_await Sleep(std::chrono::milliseconds(1));
+    }
+    co_await Sleep(std::chrono::milliseconds(5));
+    try {
+      co_await exchange->ReadBody();
+    } catch (const std::exception&) {
+      m_body_given_up = true;
+    }
+  }
+
   asio::io_context m_io;
   std::vector<std::string> m_begun;
   std::vector<std::string> m_answered;
   int m_left = 0;
+  bool m_body_given_up = false;
   HttpServer m_server;
   tcp::socket m_client;
   std::string m_received;
@@ -154,6 +172,17 @@
   BOOST_TEST(server.Begun().size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(BodyIsNotReadBehindAnEarlyAnswer) {
+  // Found by the soak on a busy machine: the connection and the reader of a body read at once, and the
+  // process aborted.
+  ManualServer server;
+  server.Send("POST " + kEarly + " HTTP/1.1\r\nHost: a\r\nContent-Length: 100\r\n\r\n");
+  server.Answer(kEarly);
+  server.Settle();
+  BOOST_TEST(server.Received().find("Connection: close") != std::string::npos);
+  BOOST_TEST(server.BodyGivenUp());
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionWithAnOpenRequestIsNotClosedAsIdle) {
   ManualServer server;
   server.SendGet("/1");
