Leave running work its caller's whole time

Cause: the entry host took 12 ms off the time that a caller waits, so that a refusal still reaches it, and running work was given up as much before the deadline. After a SIGTERM that is not allowed while an endpoint is at work. Change: the deadline is the caller's; only requests that wait end 12 ms earlier. Measured: both new tests fail without the change; 512 unit tests green.

--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -30,6 +30,13 @@
 constexpr Duration kTrialByRepeatable =
     std::chrono::seconds(2);  ///< Wait for repeatable work to try an endpoint.
 
+/// Time at which a request that waits ends: its caller shall still hear that it was not run. Work that runs
+/// has its whole time.
+Instant QueuedUntil(const DispatchRequest& request) {
+  constexpr Duration kAnswerTime = std::chrono::milliseconds(12);  ///< Round trip to callers and some more.
+  return request.m_deadline - kAnswerTime;
+}
+
 }  // namespace
 
 FairDispatcher::FairDispatcher(ServicePart part, std::string node, const std::string& zone,
@@ -211,7 +218,7 @@
   if (RefuseEarly(pending, state, now, out)) return;
   pending.m_start_tag = state.m_queue.Push(request.m_request_id, request.m_account, pending.m_weight,
                                            pending.m_arrival_sequence);
-  m_deadlines.emplace(request.m_deadline, request.m_request_id);
+  m_deadlines.emplace(QueuedUntil(request), request.m_request_id);
   m_pending.emplace(request.m_request_id, std::move(pending));
   Pump(now, out);
 }
@@ -311,7 +318,7 @@
   DecisionRecord record = MakeRecord(pending, now);
   AddPassedOver(choice, pending, record);
   choice.m_class->m_queue.Serve(entry);
-  m_deadlines.erase({pending.m_request.m_deadline, entry.m_request_id});
+  m_deadlines.erase({QueuedUntil(pending.m_request), entry.m_request_id});
   for (auto& [name, state] : m_classes) ++state.m_picks_of_others;
   choice.m_class->m_picks_of_others = 0;
   pending.m_alone = m_suspects.IsSuspect(pending.m_request.m_fingerprint);
@@ -351,7 +358,7 @@
 void FairDispatcher::DropQueued(Pending& pending) {
   assert(pending.m_running.empty());
   ClassOf(pending.m_request.m_class_name).m_queue.Remove(pending.m_start_tag, pending.m_arrival_sequence);
-  m_deadlines.erase({pending.m_request.m_deadline, pending.m_request.m_request_id});
+  m_deadlines.erase({QueuedUntil(pending.m_request), pending.m_request.m_request_id});
 }
 
 void FairDispatcher::Finish(Pending& pending, ResultCode code, Duration retry_after, Instant now,
@@ -384,7 +391,7 @@
     // It keeps its place; it has waited its turn already.
     state.m_queue.PutBack(request.m_request_id, pending.m_start_tag, pending.m_arrival_sequence);
   }
-  m_deadlines.emplace(pending.m_request.m_deadline, pending.m_request.m_request_id);
+  m_deadlines.emplace(QueuedUntil(request), request.m_request_id);
   // When every endpoint has failed it once, any may be tried again.
   if (pending.m_failed_endpoints.size() >= m_endpoints.All().size()) pending.m_failed_endpoints.clear();
   UpdateBounds(now);
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -168,7 +168,7 @@
   EndpointTable m_endpoints;
   std::map<std::string, ClassState> m_classes;
   std::map<std::string, Pending> m_pending;
-  std::set<std::pair<Instant, std::string>> m_deadlines;                ///< Of queued requests.
+  std::set<std::pair<Instant, std::string>> m_deadlines;  ///< Ends of the wait of queued requests.
   std::map<std::pair<std::string, std::int64_t>, Attempt> m_abandoned;  ///< By request id and number.
   std::map<std::string, MovingAverage> m_route_service_time;
   RetryBudget m_retry_budget;
--- a/fescueramp/node/entry_requests.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -12,8 +12,6 @@
 constexpr std::int64_t kMostRedirects = 2;  ///< To the zone's part, and to another one when that is full.
 constexpr std::size_t kMaxIdempotencyKey = 128;
 constexpr std::uint64_t kSplitSeed = 7;  ///< Keeps the choice among split services apart from other hashes.
-constexpr Duration kAnswerMargin =
-    std::chrono::milliseconds(12);  ///< Time for the last answer's way back to the caller.
 constexpr Duration kRetrySoon = std::chrono::milliseconds(300);  ///< Time in which membership settles.
 
 /// Time after which a caller should come back when nothing is known of the load.
@@ -94,10 +92,7 @@
   request.m_max_attempts = route.m_max_attempts;
   request.m_revision = table.Revision();
   std::int64_t patience_ms = route.m_deadline_ms;
-  if (event.m_patience_ms > 0) {
-    const std::int64_t left_ms = event.m_patience_ms - kAnswerMargin.count() / 1000;
-    patience_ms = std::clamp<std::int64_t>(left_ms, 1, patience_ms);
-  }
+  if (event.m_patience_ms > 0) patience_ms = std::min(event.m_patience_ms, patience_ms);
   request.m_deadline = now + std::chrono::milliseconds(patience_ms);
   if (m_claims && !route.m_repeatable) {
     request.m_claim_key = Hash64(request.m_service + "\n" + account + "\n" + event.m_idempotency_key);
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -83,6 +83,12 @@
   BOOST_TEST(DiscoveryNode::Select<RefuseRequest>(effects).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(RunningWorkHasItsCallersWholeTime) {
+  // A host that ends must not give up work at which an endpoint is busy, be it only 12 ms early.
+  DiscoveryNode node(6);
+  BOOST_CHECK(node.File("n0-1").m_request.m_deadline == node.Now() + seconds(3));
+}
+
 BOOST_AUTO_TEST_CASE(WorkIsGivenBackWhileNoEndpointsAreKnown) {
   DiscoveryNode node(3);
   node.Post(DispatchArrived{Filing("x-1", node.Now(), 2), 0});
--- a/unit_tests/dispatch_test.cc
+++ b/unit_tests/dispatch_test.cc
@@ -139,6 +139,20 @@
   BOOST_CHECK(harness.CodeOf(late) == ResultCode::kNotRun);
 }
 
+BOOST_AUTO_TEST_CASE(WaitingWorkEndsInTimeForItsCallerAndRunningWorkDoesNot) {
+  DispatchHarness harness(1, 1);
+  const std::string running = harness.Send("filing", "alice", false, seconds(2));
+  const std::string waiting = harness.Send("filing", "alice", false, seconds(2));
+  BOOST_REQUIRE(harness.Running(running));
+  harness.Advance(milliseconds(1960));
+  BOOST_TEST(!harness.Ended(waiting));
+  harness.Advance(milliseconds(30));
+  BOOST_REQUIRE(harness.Ended(waiting));
+  BOOST_CHECK(harness.CodeOf(waiting) == ResultCode::kNotRun);
+  BOOST_TEST(harness.Running(running));
+  CheckNoBreaches(harness);
+}
+
 /// An end of an attempt on non-repeatable work, and what its caller must be told.
 struct NonRepeatableEnd {
   AttemptOutcome m_outcome;
