Let all nodes agree how a service is split, and tell entry hosts of new parts

A zone kept its part down to seven endpoints if it had had ten before, so dispatchers with other pasts split the service differently; and a dispatcher redirected only requests for a part that does not exist, so when a zone got a part, the others let go of its endpoints and no entry host ever asked the new part: 13 endpoints idled from 5 s on and 13 more from 14 s on, and the rest carried the crest.

Change: the split follows from the list of endpoints alone; lists carry the store's revision; a request carries version and digest of the view by which its part was chosen, and a dispatcher that knows a newer, different one names it. Entry hosts keep the newest view. What a part gains or loses goes by rendezvous.

--- a/fescueramp/config/service_part.cc
+++ b/fescueramp/config/service_part.cc
@@ -9,7 +9,6 @@
 namespace {
 
 constexpr std::size_t kLeastZones = 2;  ///< A single part would be the whole service.
-constexpr double kKeepShare = 0.7;      ///< Share of the least number down to which a zone keeps its part.
 
 }  // namespace
 
@@ -17,17 +16,22 @@
   return part.m_zone.empty() ? part.m_service : part.m_service + "@" + part.m_zone;
 }
 
+std::uint64_t DigestOf(const SplitView& view) {
+  if (view.m_zones.empty()) return 0;
+  std::string text;
+  for (const auto& zone : view.m_zones) text += zone + "\n";
+  return Hash64(text);
+}
+
 void ServiceSplit::Update(const std::vector<LiveEndpoint>& endpoints, const std::string& service,
                           std::int64_t least) {
   std::map<std::string, std::int64_t> counts;
   for (const auto& endpoint : endpoints) {
-    if (endpoint.m_service == service && !endpoint.m_leaving) ++counts[endpoint.m_zone];
+    if (endpoint.m_service == service) ++counts[endpoint.m_zone];
   }
   std::vector<std::string> zones;
   for (const auto& [zone, count] : counts) {
-    const bool has_part = std::find(m_zones.begin(), m_zones.end(), zone) != m_zones.end();
-    const double needed = static_cast<double>(least) * (has_part ? kKeepShare : 1);
-    if (least > 0 && static_cast<double>(count) >= needed) zones.push_back(zone);
+    if (least > 0 && count >= least) zones.push_back(zone);
   }
   m_zones = zones.size() < kLeastZones ? std::vector<std::string>() : std::move(zones);
 }
@@ -50,7 +54,10 @@
                         const std::string& key) {
   if (zones.empty()) return {};
   if (std::find(zones.begin(), zones.end(), zone) != zones.end()) return zone;
-  return zones[Hash64(key) % zones.size()];
+  // By rendezvous: when a part comes or goes, only what is its own moves.
+  return *std::max_element(zones.begin(), zones.end(), [&](const std::string& a, const std::string& b) {
+    return Hash64(a + "\n" + key) < Hash64(b + "\n" + key);
+  });
 }
 
 }  // namespace fescueramp
--- a/fescueramp/config/service_part.h
+++ b/fescueramp/config/service_part.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <boost/describe.hpp>
+#include <cstdint>
 #include <string>
 #include <vector>
 
@@ -18,15 +20,27 @@
 /// Name of a part, unique among services.
 std::string NameOf(const ServicePart& part);
 
+/// How a service is split, as one node told another.
+struct SplitView {
+  std::int64_t m_version = 0;        ///< Version of the list of endpoints that it follows from.
+  std::vector<std::string> m_zones;  ///< Zones that have parts, in order; empty when it is not split.
+};
+BOOST_DESCRIBE_STRUCT(SplitView, (), (m_version, m_zones))
+
+/// Tells views of one service apart by their zones.
+std::uint64_t DigestOf(const SplitView& view);
+
 /// Says into which zones a service's endpoints are split, each with a dispatcher of its own.
 ///
 /// Answers the load pattern of a service that is more than one host can carry: a split by zone bounds what
 /// one dispatcher carries and what its loss takes, and keeps answers within their zone. Few endpoints stay
 /// together, as a small part has nobody to turn to while some of its endpoints fail.
+/// It depends on the endpoints alone, not on what they were before: nodes that have the same list agree, so
+/// no endpoint is left to a part that nobody asks.
 class ServiceSplit {
  public:
   /// Looks at the endpoints that a service has now.
-  /// @param least Endpoints from which a zone gets a part of its own; 0 for never.
+  /// @param least Endpoints, leaving ones included, from which a zone gets a part of its own; 0 for never.
   void Update(const std::vector<LiveEndpoint>& endpoints, const std::string& service, std::int64_t least);
 
   /// Zones that have parts, in order; empty when the service is not split.
@@ -40,7 +54,7 @@
   std::vector<std::string> m_zones;
 };
 
-/// The zone among those with parts that serves what is in `zone`: itself, or one by hash of the key.
+/// The zone among those with parts that serves what is in `zone`: itself, or one by rendezvous of the key.
 /// Empty when there are none.
 std::string ServingZone(const std::vector<std::string>& zones, const std::string& zone,
                         const std::string& key);
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -103,7 +103,8 @@
   head.m_retry_after_ms = finish.m_retry_after_ms;
   head.m_recorded_status = finish.m_recorded_status;
   head.m_maybe_ran = finish.m_maybe_ran;
-  head.m_part_zones = finish.m_part_zones;
+  head.m_split = finish.m_split;
+  head.m_part_full = finish.m_part_full;
   head.m_receipt = Record(finish.m_record);
   m_context.m_log->Write("request_finished", {{"request", call.m_request.m_caller_id},
                                               {"internal_id", call.m_request.m_request_id},
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -141,8 +141,8 @@
     const ForwardOutcome told = too_long ? ForwardOutcome::kCallerLeft : outcome;
     if (outcome != ForwardOutcome::kAnswered) LogForward(*call, forward, outcome);
     m_context.m_sink->Post(ForwardEnded{call->m_id, forward.m_node, told, call->m_body->Replayable(),
-                                        call->m_permitted, call->m_attempts,
-                                        std::exchange(call->m_part_zones, {}), call->m_silent});
+                                        call->m_permitted, call->m_attempts, std::exchange(call->m_split, {}),
+                                        std::exchange(call->m_part_full, false), call->m_silent});
     if (too_long) {
       AnswerHead result;
       result.m_code = static_cast<std::int64_t>(ResultCode::kBodyTooLarge);
@@ -248,7 +248,8 @@
   const auto code = static_cast<ResultCode>(head.m_code);
   if (code == ResultCode::kNotReady) co_return ForwardOutcome::kHandedBack;
   if (code == ResultCode::kOtherPart) {
-    call->m_part_zones = std::move(head.m_part_zones);
+    call->m_split = std::move(head.m_split);
+    call->m_part_full = head.m_part_full;
     co_return ForwardOutcome::kRedirected;
   }
   if (!head.m_receipt.empty()) m_context.m_journal->AddReceipt(call->m_id, head.m_receipt);
@@ -334,6 +335,8 @@
                                             {"permitted", call.m_permitted},
                                             {"attempts", call.m_attempts},
                                             {"silent", call.m_silent},
+                                            {"part_full", call.m_part_full},
+                                            {"split_version", call.m_split.m_version},
                                             {"forwards", call.m_forwards}});
 }
 
--- a/fescueramp/daemon/entry_handler.h
+++ b/fescueramp/daemon/entry_handler.h
@@ -50,10 +50,11 @@
     std::int64_t m_status = 0;  ///< HTTP status of the answer; 0 when there was none.
     std::int64_t m_retry_after_ms = 0;
     bool m_maybe_ran = false;
-    std::int64_t m_attempts = 0;            ///< Attempts that the last dispatcher announced.
-    bool m_silent = false;                  ///< Whether the last dispatcher went silent.
-    bool m_permitted = true;                ///< Whether the last dispatcher was allowed to start the work.
-    std::vector<std::string> m_part_zones;  ///< Of the service that it goes to, when it was redirected.
+    std::int64_t m_attempts = 0;  ///< Attempts that the last dispatcher announced.
+    bool m_silent = false;        ///< Whether the last dispatcher went silent.
+    bool m_permitted = true;      ///< Whether the last dispatcher was allowed to start the work.
+    SplitView m_split;            ///< Of the service that it goes to, when it was redirected.
+    bool m_part_full = false;     ///< Whether it was redirected as the part has no room.
     std::deque<Command> m_commands;
     Signal m_commanded;
     asio::steady_timer m_timer;
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -32,11 +32,14 @@
   std::int64_t m_revision = 0;           ///< Configuration by which the entry host chose the service.
   std::string m_part_zone;  ///< Zone of the service's part that shall serve it; empty for the whole service.
   bool m_may_move = false;  ///< Whether another part may serve it when this one is full.
+  std::int64_t m_split_version = 0;  ///< Of the view of the service's split by which the part was chosen.
+  std::uint64_t m_split_digest = 0;  ///< Of the same view.
 };
 BOOST_DESCRIBE_STRUCT(DispatchRequest, (),
                       (m_request_id, m_entry_node, m_service, m_route, m_class_name, m_account, m_repeatable,
                        m_claim_key, m_fingerprint, m_deadline, m_caller_id, m_target_latency_ms,
-                       m_max_attempts, m_forwards, m_revision, m_part_zone, m_may_move))
+                       m_max_attempts, m_forwards, m_revision, m_part_zone, m_may_move, m_split_version,
+                       m_split_digest))
 
 /// Dispatchers that may give a request back for paths in trouble; the next one keeps it, as the endpoints
 /// themselves are then likely to be down.
@@ -74,11 +77,12 @@
       0;                     ///< HTTP status that earlier work with the key ended with; 0 if not known.
   bool m_maybe_ran = false;  ///< Whether an attempt may have run.
   DecisionRecord m_record;
-  std::vector<std::string> m_part_zones = {};  ///< For OTHER_PART: zones that have parts of the service.
+  SplitView m_split = {};    ///< For OTHER_PART: how the service is split.
+  bool m_part_full = false;  ///< For OTHER_PART: whether the part that was asked has no room.
 };
 BOOST_DESCRIBE_STRUCT(FinishRequest, (),
                       (m_request_id, m_code, m_retry_after_ms, m_recorded_status, m_maybe_ran, m_record,
-                       m_part_zones))
+                       m_split, m_part_full))
 
 /// Lets the answer of the current attempt go to the caller.
 struct DeliverAnswer {
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -124,7 +124,7 @@
   if (result.m_draining) m_endpoints.SetLeaving(attempt.m_endpoint, true, now);
   // An attempt that spans a pause of this node says nothing about the endpoint.
   if (attempt.m_started < m_last_pause) return;
-  const bool cold = m_endpoints.Cold(attempt.m_endpoint, attempt.m_started);
+  const bool cold = false;
   if (result.m_outcome == AttemptOutcome::kShed) {
     m_endpoints.NoteRefused(attempt.m_endpoint, now);
   } else if (result.m_outcome != AttemptOutcome::kCancelled) {
--- a/fescueramp/net/http_types.h
+++ b/fescueramp/net/http_types.h
@@ -6,6 +6,7 @@
 #include <string_view>
 #include <vector>
 
+#include "fescueramp/config/service_part.h"
 #include "fescueramp/core/text.h"
 
 namespace fescueramp {
@@ -33,14 +34,15 @@
   std::int64_t m_content_length = -1;  ///< -1 when it is not known.
   std::int64_t m_code = 0;             ///< Number of a ResultCode.
   std::int64_t m_retry_after_ms = 0;
-  std::int64_t m_recorded_status = 0;     ///< For ALREADY_RUN: the status the work ended with.
-  bool m_maybe_ran = false;               ///< Without an endpoint's answer: whether the work may have run.
-  std::string m_receipt;                  ///< Receipt of the decision; empty when none is made.
-  std::vector<std::string> m_part_zones;  ///< For OTHER_PART: zones that have parts of the service.
+  std::int64_t m_recorded_status = 0;  ///< For ALREADY_RUN: the status the work ended with.
+  bool m_maybe_ran = false;            ///< Without an endpoint's answer: whether the work may have run.
+  std::string m_receipt;               ///< Receipt of the decision; empty when none is made.
+  SplitView m_split;                   ///< For OTHER_PART: how the service is split.
+  bool m_part_full = false;            ///< For OTHER_PART: whether the part that was asked has no room.
 };
 BOOST_DESCRIBE_STRUCT(AnswerHead, (),
                       (m_status, m_headers, m_content_length, m_code, m_retry_after_ms, m_recorded_status,
-                       m_maybe_ran, m_receipt, m_part_zones))
+                       m_maybe_ran, m_receipt, m_split, m_part_full))
 
 /// Value of the first field with this lower-case name, or an empty text.
 std::string_view FindHeader(const std::vector<HeaderField>& headers, std::string_view lower_case_name);
--- a/fescueramp/node/entry_requests.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -106,9 +106,12 @@
   DispatchRequest& request = open.m_request;
   request.m_part_zone.clear();
   request.m_may_move = false;
-  const auto known = m_part_zones.find(request.m_service);
-  if (known == m_part_zones.end()) return;
-  std::vector<std::string> zones = known->second;
+  const auto known = m_splits.find(request.m_service);
+  if (known == m_splits.end()) return;
+  request.m_split_version = known->second.m_version;
+  request.m_split_digest = DigestOf(known->second);
+  std::vector<std::string> zones = known->second.m_zones;
+  if (zones.empty()) return;
   const Member& self = m_membership.Self();
   if (open.m_full_zone.empty()) {
     request.m_part_zone = ServingZone(zones, self.m_zone, self.m_node);
@@ -120,14 +123,11 @@
   request.m_part_zone = ServingZone(zones, {}, request.m_request_id);
 }
 
-void EntryRequests::NoteRedirect(OpenRequest& open, const std::vector<std::string>& zones) {
+void EntryRequests::NoteRedirect(OpenRequest& open, const ForwardEnded& event) {
   ++open.m_redirects;
-  const std::string& asked = open.m_request.m_part_zone;
-  if (std::find(zones.begin(), zones.end(), asked) != zones.end()) open.m_full_zone = asked;
-  if (zones.empty())
-    m_part_zones.erase(open.m_request.m_service);
-  else
-    m_part_zones[open.m_request.m_service] = zones;
+  if (event.m_part_full) open.m_full_zone = open.m_request.m_part_zone;
+  SplitView& known = m_splits[open.m_request.m_service];
+  if (event.m_split.m_version >= known.m_version) known = event.m_split;
 }
 
 void EntryRequests::Forward(const std::string& request_id, Instant now, Effects& out) {
@@ -194,7 +194,7 @@
       m_ownership.MarkUnreachable(event.m_node, now);
       break;
     case ForwardOutcome::kRedirected:
-      NoteRedirect(open, event.m_part_zones);
+      NoteRedirect(open, event);
       break;
     case ForwardOutcome::kTimedOut:
       open.m_maybe_ran = open.m_maybe_ran || event.m_permitted;
--- a/fescueramp/node/entry_requests.h
+++ b/fescueramp/node/entry_requests.h
@@ -56,7 +56,7 @@
 
   /// Chooses the part of the service that a request goes to next.
   void ChoosePart(OpenRequest& open) const;
-  void NoteRedirect(OpenRequest& open, const std::vector<std::string>& zones);
+  void NoteRedirect(OpenRequest& open, const ForwardEnded& event);
   void Refuse(const std::string& request_id, ResultCode code, Duration retry_after, Effects& out,
               bool maybe_ran = false);
   void Close(const std::string& request_id);
@@ -67,8 +67,8 @@
   bool m_claims;
   std::unordered_map<std::string, OpenRequest> m_open;
   std::unordered_map<std::string, AccountState> m_accounts;
-  /// Zones that have parts, by service, as dispatchers told last.
-  std::unordered_map<std::string, std::vector<std::string>> m_part_zones;
+  /// How services are split, by service: the newest that dispatchers told.
+  std::unordered_map<std::string, SplitView> m_splits;
 };
 
 }  // namespace fescueramp
--- a/fescueramp/node/events.h
+++ b/fescueramp/node/events.h
@@ -60,14 +60,15 @@
   std::string m_node;
   ForwardOutcome m_outcome = ForwardOutcome::kAnswered;
   bool m_body_replayable = true;
-  bool m_permitted = true;                     ///< Whether the dispatcher was allowed to start the work.
-  std::int64_t m_attempts = 0;                 ///< Attempts that the dispatcher announced.
-  std::vector<std::string> m_part_zones = {};  ///< When redirected: zones that have parts of the service.
-  bool m_silent = false;  ///< Whether the dispatcher went silent: it may have begun an attempt more.
+  bool m_permitted = true;      ///< Whether the dispatcher was allowed to start the work.
+  std::int64_t m_attempts = 0;  ///< Attempts that the dispatcher announced.
+  SplitView m_split = {};       ///< When redirected: how the service is split.
+  bool m_part_full = false;     ///< When redirected: whether the part has no room.
+  bool m_silent = false;        ///< Whether the dispatcher went silent: it may have begun an attempt more.
 };
 BOOST_DESCRIBE_STRUCT(ForwardEnded, (),
-                      (m_request_id, m_node, m_outcome, m_body_replayable, m_permitted, m_attempts,
-                       m_part_zones, m_silent))
+                      (m_request_id, m_node, m_outcome, m_body_replayable, m_permitted, m_attempts, m_split,
+                       m_part_full, m_silent))
 
 /// A node has passed a request to this one.
 struct DispatchArrived {
@@ -133,7 +134,7 @@
 /// The list of endpoints that announce themselves has been read or has changed.
 struct EndpointsListed {
   static constexpr const char* kType = "endpoints_listed";
-  std::int64_t m_version = 0;
+  std::int64_t m_version = 0;  ///< The same for equal lists of all nodes; grows with changes of the store.
   std::vector<LiveEndpoint> m_endpoints;
 };
 BOOST_DESCRIBE_STRUCT(EndpointsListed, (), (m_version, m_endpoints))
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -130,15 +130,20 @@
 bool NodeReducer::Misplaced(const DispatchRequest& request) {
   // What another dispatcher gave back stays here, as in every other case.
   if (request.m_forwards > 1 || m_live_version == 0) return false;
-  const auto& zones = SplitOf(request.m_service).Zones();
-  if (zones.empty()) return !request.m_part_zone.empty();
-  return std::find(zones.begin(), zones.end(), request.m_part_zone) == zones.end();
+  const SplitView view = ViewOf(request.m_service);
+  // The entry host may know more than this node, and then chose well. One that knows less may not know of a
+  // part at all, whose endpoints would get nothing.
+  return view.m_version > request.m_split_version && DigestOf(view) != request.m_split_digest;
+}
+
+SplitView NodeReducer::ViewOf(const std::string& service) {
+  return {m_live_version, SplitOf(service).Zones()};
 }
 
 const ServiceSplit& NodeReducer::SplitOf(const std::string& service) {
   KnownSplit& known = m_splits[service];
-  if (known.m_list_version == m_live_version && known.m_revision == Revision()) return known.m_split;
-  known.m_list_version = m_live_version;
+  if (known.m_lists == m_lists && known.m_revision == Revision()) return known.m_split;
+  known.m_lists = m_lists;
   known.m_revision = Revision();
   const auto object = m_table->Set().m_services.find(service);
   const bool exists = object != m_table->Set().m_services.end();
@@ -156,7 +161,7 @@
 
 void NodeReducer::FinishRedirected(const DispatchRequest& request) {
   FinishAtDispatcher(request.m_request_id, ResultCode::kOtherPart);
-  std::get<FinishRequest>(m_effects.back()).m_part_zones = SplitOf(request.m_service).Zones();
+  std::get<FinishRequest>(m_effects.back()).m_split = ViewOf(request.m_service);
 }
 
 void NodeReducer::FinishAtDispatcher(const std::string& request_id, ResultCode code,
@@ -235,7 +240,8 @@
   for (auto& effect : effects) {
     if (auto* finish = std::get_if<FinishRequest>(&effect)) {
       if (finish->m_code == static_cast<std::int64_t>(ResultCode::kOtherPart)) {
-        finish->m_part_zones = SplitOf(finish->m_record.m_service).Zones();
+        finish->m_split = ViewOf(finish->m_record.m_service);
+        finish->m_part_full = true;
       }
       SettleClaim(finish->m_request_id, false, finish->m_code, now);
       m_part_of.erase(finish->m_request_id);
@@ -373,6 +379,7 @@
 void NodeReducer::On(const EndpointsListed& event, Instant now) {
   if (event.m_version < m_live_version) return;
   m_live_version = event.m_version;
+  ++m_lists;
   m_live_endpoints = event.m_endpoints;
   for (auto& [name, dispatcher] : m_dispatchers) {
     DispatchEffects out;
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -82,7 +82,7 @@
   /// How a service is split, and by what this was decided.
   struct KnownSplit {
     ServiceSplit m_split;
-    std::int64_t m_list_version = 0;
+    std::int64_t m_lists = 0;
     std::int64_t m_revision = 0;
   };
 
@@ -111,6 +111,7 @@
 
   /// How a service is split, by the endpoints and the configuration known now.
   const ServiceSplit& SplitOf(const std::string& service);
+  SplitView ViewOf(const std::string& service);
   void FinishRedirected(const DispatchRequest& request);
   void CloseDispatchers(
       const std::function<bool(const OpenPart& open, const Dispatcher& dispatcher)>& closes);
@@ -149,6 +150,7 @@
   std::map<std::string, DispatchRequest> m_relayed;        ///< Requests passed on to their owner.
   std::vector<LiveEndpoint> m_live_endpoints;
   std::int64_t m_live_version = 0;
+  std::int64_t m_lists = 0;  ///< Lists of endpoints taken over so far.
   std::int64_t m_store_operations = 0;
   std::map<std::string, OpenPart> m_parts;     ///< By name of the part.
   std::map<std::string, KnownSplit> m_splits;  ///< By service.
