--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -136,6 +136,7 @@
                           {"entry_host", call.m_request.m_entry_node},
                           {"service", call.m_request.m_service},
                           {"part_zone", call.m_request.m_part_zone},
+                          {"route", call.m_request.m_route},
                           {"endpoint", effect.m_endpoint},
                           {"attempt", effect.m_attempt},
                           {"outcome", EnumName(result.m_outcome)},
--- a/fescueramp/dispatch/class_share.h
+++ b/fescueramp/dispatch/class_share.h
@@ -17,6 +17,9 @@
   /// Source: S. Halfin, W. Whitt, "Heavy-Traffic Limits for Queues with Many Exponential Servers", 1981.
   std::int64_t SlotsNeeded(Instant now) const;
 
+  /// Requests that arrive a second, as of late.
+  double ArrivalsPerSecond(Instant now) const { return m_fast_rate.PerSecond(now); }
+
   /// Mean service time in seconds; `kUnknownServiceTime` before the first answer.
   double MeanServiceTime() const;
 
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -9,13 +9,16 @@
 
 constexpr double kOtherZoneCost = 0.03;  ///< Cost of another zone: an answer crosses once more.
 constexpr double kNoHelpDoubt = 0.6;     ///< Doubt above which an endpoint is no help against a backlog.
-/// Doubt above which an endpoint gets one request at a time: below that of one of which nothing is known.
-constexpr double kTrialDoubt = 0.2;
+/// Doubt above which an endpoint gets one request at a time; one overdue request, which may be long work,
+/// stays below it.
+constexpr double kTrialDoubt = 0.35;
 constexpr std::size_t kMaxScan = 256;                              ///< Endpoints looked at for one request.
 constexpr Duration kFirstBackoff = std::chrono::milliseconds(40);  ///< After the first failed connect.
 constexpr Duration kRefusalPause =
     std::chrono::milliseconds(10);  ///< A slot comes free every few such times.
 constexpr std::int64_t kMaxBackoffDoublings = 5;
+constexpr double kHungOdds = 8;     ///< Odds from which work is taken to hang.
+constexpr double kMostOdds = 1000;  ///< Bound of the odds by all work that runs at an endpoint.
 
 }  // namespace
 
@@ -56,14 +59,21 @@
 }
 
 void EndpointTable::Refresh(Instant now) {
-  for (auto& [name, state] : m_slots) Update(state, now);
+  for (auto& [name, state] : m_slots) {
+    UpdateOdds(state, now);
+    Update(state, now);
+  }
   CountSound(now);
 }
 
 void EndpointTable::CountSound(Instant now) {
   m_sound_slots = 0;
+  m_working_slots = 0;
   for (const auto& [name, state] : m_slots) {
-    if (state.m_backoff_until <= now) m_sound_slots += SlotsByDoubt(state, kNoHelpDoubt, now);
+    if (state.m_backoff_until > now) continue;
+    const std::int64_t sound = SlotsByDoubt(state, kNoHelpDoubt, now);
+    m_sound_slots += sound;
+    m_working_slots += std::max<std::int64_t>(0, sound - state.m_hung);
   }
 }
 
@@ -101,8 +111,9 @@
 std::int64_t EndpointTable::SlotsByDoubt(const Slots& state, double most_doubt, Instant now) {
   const double doubt = state.m_placement.Doubt(now);
   if (doubt > most_doubt) return 0;
-  // One request tells as much as several, and loses less.
-  return doubt > kTrialDoubt ? std::min<std::int64_t>(1, state.m_usable) : state.m_usable;
+  // One request tells as much as several, and loses less. What hangs tells nothing more.
+  const bool trial = doubt > kTrialDoubt || !state.m_placement.Heard();
+  return trial ? std::min(1 + state.m_hung, state.m_usable) : state.m_usable;
 }
 
 EndpointTable::Slots* EndpointTable::Choose(const Need& need, Instant now) {
@@ -128,15 +139,17 @@
 double EndpointTable::CostOf(const Slots& state, const Need& need, Instant now) const {
   PlacementState::Load load{state.m_busy, state.m_usable, 0};
   if (need.m_usual_time > 0) {
-    for (const auto& [ticket, started] : state.m_running) {
-      load.m_longest_running = std::max(load.m_longest_running, ToSeconds(now - started) / need.m_usual_time);
+    for (const auto& [ticket, running] : state.m_running) {
+      load.m_longest_running =
+          std::max(load.m_longest_running, ToSeconds(now - running.m_started) / need.m_usual_time);
     }
   }
   const double zone_cost = state.m_endpoint.m_zone == m_own_zone ? 0 : kOtherZoneCost;
   return state.m_placement.Cost(need.m_placement, load, now) + zone_cost;
 }
 
-std::int64_t EndpointTable::Take(Slots& state, const std::string& class_name, bool exclusive, Instant now) {
+std::int64_t EndpointTable::Take(Slots& state, const std::string& class_name, bool exclusive,
+                                 const std::string& route, Instant now) {
   assert(state.m_busy < state.m_usable);
   assert(!exclusive || state.m_busy == 0);
   ++state.m_busy;
@@ -145,17 +158,62 @@
   state.m_exclusive = exclusive;
   state.m_last_used = ++m_use_counter;
   state.m_placement.NoteUse(now);
-  state.m_running.emplace(m_use_counter, now);
+  state.m_running.emplace(m_use_counter, Running{now, route, false});
   Reindex(state);
   return m_use_counter;
 }
 
+double EndpointTable::OddsOf(const Slots& state, const Running& running, Instant now) const {
+  if (running.m_told) return 1;
+  const PlacementState& placement = state.m_placement;
+  const double odds = m_times.HangOdds(running.m_route, now - running.m_started,
+                                       placement.Slowness(running.m_started), placement.GrayFailures());
+  return std::max(1.0, odds * running.m_answered_since);
+}
+
+void EndpointTable::UpdateOdds(Slots& state, Instant now) {
+  double odds = 1;
+  state.m_hung = 0;
+  for (const auto& [ticket, running] : state.m_running) {
+    const double own = OddsOf(state, running, now);
+    state.m_hung += own >= kHungOdds ? 1 : 0;
+    odds *= own;
+  }
+  state.m_placement.SetRunningOdds(std::min(odds, kMostOdds));
+}
+
+void EndpointTable::NoteUnanswered(const std::string& endpoint, std::int64_t ticket, Instant now) {
+  const auto found = m_slots.find(endpoint);
+  if (found == m_slots.end()) return;
+  Slots& state = found->second;
+  const auto running = state.m_running.find(ticket);
+  if (running == state.m_running.end()) return;
+  state.m_placement.ObserveHung(OddsOf(state, running->second, now), now);
+  running->second.m_told = true;
+  UpdateOdds(state, now);
+}
+
+void EndpointTable::NotePause(Instant now) {
+  for (auto& [name, state] : m_slots) {
+    for (auto& [ticket, running] : state.m_running) running.m_started = now;
+    UpdateOdds(state, now);
+  }
+}
+
 void EndpointTable::Observe(const std::string& endpoint, Evidence evidence, double relative_time,
                             Instant started, Instant now) {
-  if (const auto found = m_slots.find(endpoint); found != m_slots.end()) {
-    found->second.m_placement.Observe(evidence, relative_time, started, now);
-    CountSound(now);
+  const auto found = m_slots.find(endpoint);
+  if (found == m_slots.end()) return;
+  Slots& state = found->second;
+  state.m_placement.Observe(evidence, relative_time, started, now);
+  if (evidence == Evidence::kGood) {
+    // Work that takes long tells less and less of an endpoint that answers what was begun after it.
+    for (auto& [ticket, running] : state.m_running) {
+      if (running.m_started < started) running.m_answered_since *= state.m_placement.GoodOdds();
+    }
+    UpdateOdds(state, now);
   }
+  CountSound(now);
 }
 
 bool EndpointTable::Cold(const std::string& endpoint, Instant at) const {
@@ -183,6 +241,7 @@
   --m_total_busy;
   if (--state.m_busy_by_class[class_name] == 0) state.m_busy_by_class.erase(class_name);
   if (state.m_busy == 0) state.m_exclusive = false;
+  UpdateOdds(state, now);
   Update(state, now);
 }
 
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -12,12 +12,21 @@
 #include "fescueramp/core/time.h"
 #include "fescueramp/dispatch/placement.h"
 #include "fescueramp/health/health_monitor.h"
+#include "fescueramp/health/work_times.h"
 
 namespace fescueramp {
 
 /// Slots of one service's endpoints: which are free, and which a request should take.
 class EndpointTable {
  public:
+  /// An attempt that holds a slot.
+  struct Running {
+    Instant m_started{};
+    std::string m_route;
+    bool m_told = false;          ///< Whether its missing answer has been held against the endpoint for good.
+    double m_answered_since = 1;  ///< Odds by answers to work that was begun later.
+  };
+
   /// Slot state of one endpoint.
   struct Slots {
     std::string m_name;
@@ -32,7 +41,8 @@
     std::int64_t m_refusals = 0;    ///< Refusals and failed connects in a row.
     std::int64_t m_started_ms = 0;  ///< Start of the endpoint, Unix ms; 0 when it is not known.
     PlacementState m_placement;
-    std::map<std::int64_t, Instant> m_running;  ///< Start of each attempt that runs there, by ticket.
+    std::map<std::int64_t, Running> m_running;  ///< Attempts that run there, by ticket.
+    std::int64_t m_hung = 0;  ///< Slots held by work that should have been answered long ago.
     std::int64_t m_last_used = 0;
     bool m_in_free_set = false;
     double m_free_key = 0;
@@ -66,7 +76,8 @@
   Slots* Choose(const Need& need, Instant now);
 
   /// Takes a slot and returns the ticket that gives it back.
-  std::int64_t Take(Slots& slots, const std::string& class_name, bool exclusive, Instant now);
+  std::int64_t Take(Slots& slots, const std::string& class_name, bool exclusive, const std::string& route,
+                    Instant now);
   void Release(const std::string& endpoint, const std::string& class_name, std::int64_t ticket, Instant now);
 
   /// Notes what work told about an endpoint.
@@ -75,6 +86,17 @@
   void Observe(const std::string& endpoint, Evidence evidence, double relative_time, Instant started,
                Instant now);
 
+  /// Notes that an attempt which still holds its slot is not waited for any more, or has ended without an
+  /// answer.
+  void NoteUnanswered(const std::string& endpoint, std::int64_t ticket, Instant now);
+
+  /// Times of the work, which decide how long it may go without an answer.
+  WorkTimes& Times() { return m_times; }
+  const WorkTimes& Times() const { return m_times; }
+
+  /// Notes that this node did not run: how long work has run tells nothing up to now.
+  void NotePause(Instant now);
+
   /// Whether an endpoint did not run at full speed at a time.
   bool Cold(const std::string& endpoint, Instant at) const;
 
@@ -100,6 +122,9 @@
 
   /// Slots of endpoints that are in no serious doubt, busy ones included.
   std::int64_t SoundSlots() const { return m_sound_slots; }
+
+  /// The same without slots that are held by work which should have been answered long ago.
+  std::int64_t WorkingSlots() const { return m_working_slots; }
   std::int64_t TotalUsable() const { return m_total_usable; }
   std::int64_t TotalBusy() const { return m_total_busy; }
   bool AnyFree() const { return !m_free.empty(); }
@@ -118,6 +143,9 @@
     }
   };
 
+  /// Odds of a gray failure by the time that an attempt has run.
+  double OddsOf(const Slots& slots, const Running& running, Instant now) const;
+  void UpdateOdds(Slots& slots, Instant now);
   double CostOf(const Slots& slots, const Need& need, Instant now) const;
   void CountSound(Instant now);
 
@@ -129,9 +157,11 @@
 
   HealthMonitor& m_health;
   std::string m_own_zone;
+  WorkTimes m_times;
   std::map<std::string, Slots> m_slots;
   std::set<FreeKey> m_free;
   std::int64_t m_sound_slots = 0;  ///< Slots of endpoints that are in no serious doubt.
+  std::int64_t m_working_slots = 0;
   std::int64_t m_total_usable = 0;
   std::int64_t m_total_busy = 0;
   std::int64_t m_use_counter = 0;
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <limits>
 
 #include "fescueramp/core/hash.h"
 #include "fescueramp/dispatch/return_time.h"
@@ -30,11 +31,12 @@
 constexpr Duration kTrialByRepeatable =
     std::chrono::seconds(2);  ///< Wait for repeatable work to try an endpoint.
 
-/// Time at which a request that waits ends: its caller shall still hear that it was not run. Work that runs
-/// has its whole time.
-Instant QueuedUntil(const DispatchRequest& request) {
+/// Time at which a request that waits ends: its caller shall still hear that it was not run, and work that
+/// can't be done in the time left helps nobody. Work that runs has its whole time.
+Instant QueuedUntil(const DispatchRequest& request, double usual_time) {
   constexpr Duration kAnswerTime = std::chrono::milliseconds(12);  ///< Round trip to callers and some more.
-  return request.m_deadline - kAnswerTime;
+  constexpr double kTimeNeeded = 0.5;  ///< Share of the usual time below which work is not begun.
+  return request.m_deadline - std::max(kAnswerTime, FromSeconds(usual_time * kTimeNeeded));
 }
 
 }  // namespace
@@ -137,27 +139,83 @@
   }
 }
 
-Duration FairDispatcher::ExpectedWait(const ClassState& state) const {
-  const double usable = static_cast<double>(std::max<std::int64_t>(1, m_endpoints.TotalUsable()));
-  double seconds = static_cast<double>(state.m_queue.Size()) * state.m_demand.MeanServiceTime() /
-                   static_cast<double>(std::max<std::int64_t>(1, state.m_bound));
+AdmissionLoad FairDispatcher::LoadOf(const ClassState& state, Instant now) const {
+  AdmissionLoad load;
+  double work = 0;
+  double all = 0;
   for (const auto& [name, other] : m_classes) {
-    if (other.m_priority.m_rank >= state.m_priority.m_rank) continue;
-    seconds += static_cast<double>(other.m_queue.Size()) * other.m_demand.MeanServiceTime() / usable;
+    if (other.m_priority.m_rank > state.m_priority.m_rank) continue;
+    const auto in_time = static_cast<double>(other.m_queue.Size());
+    const auto late = static_cast<double>(other.m_late_queue.Size());
+    // The class's own late requests go behind; those of more urgent classes go before.
+    load.m_waiting += &other == &state ? in_time : in_time + late;
+    if (&other == &state) load.m_waiting_late = late;
+    load.m_arrivals_per_s += other.m_demand.ArrivalsPerSecond(now);
+    const double weight = in_time + late + other.m_demand.ArrivalsPerSecond(now);
+    work += weight * other.m_demand.MeanServiceTime();
+    all += weight;
   }
-  return FromSeconds(seconds);
+  load.m_capacity_per_s = CapacityPerSecond(all > 0 ? work / all : state.m_demand.MeanServiceTime(), now);
+  return load;
 }
 
-Duration FairDispatcher::TimeToReturn(const Pending& pending) const {
+double FairDispatcher::CapacityPerSecond(double service_time, Instant now) const {
+  if (service_time <= 0) return 0;
+  const std::int64_t working = m_endpoints.WorkingSlots();
+  const auto slots = static_cast<double>(working > 0 ? working : m_endpoints.TotalUsable());
+  const double possible = slots / service_time;
+  // While work waits, what was begun of late is what can be.
+  const bool measured = m_backlogged != Instant{} && now - m_backlogged > kStartMemory;
+  return measured ? std::min(possible, m_starts.PerSecond(now)) : possible;
+}
+
+AdmissionTime FairDispatcher::TimeOf(const Pending& pending, Instant now) const {
+  const DispatchRequest& request = pending.m_request;
+  AdmissionTime time;
+  time.m_work = UsualTime(request);
+  time.m_deadline = ToSeconds(request.m_deadline - now);
+  if (request.m_target_latency_ms > 0) {
+    const Instant target = pending.m_arrival + std::chrono::milliseconds(request.m_target_latency_ms);
+    // A target that has passed leaves no time, which is not the same as none being set.
+    time.m_target = std::max(std::numeric_limits<double>::min(), ToSeconds(target - now));
+  }
+  return time;
+}
+
+Duration FairDispatcher::ExpectedWait(const ClassState& state, Instant now) const {
+  const AdmissionLoad load = LoadOf(state, now);
+  return load.m_capacity_per_s > 0 ? FromSeconds(load.m_waiting / load.m_capacity_per_s) : Duration(0);
+}
+
+Duration FairDispatcher::TimeToReturn(const Pending& pending, Instant now) const {
   const auto state = m_classes.find(pending.m_request.m_class_name);
   if (state == m_classes.end()) return Duration(0);
   const Duration service_time = FromSeconds(state->second.m_demand.MeanServiceTime());
-  return ReturnTime(ExpectedWait(state->second), service_time, Hash64(pending.m_request.m_request_id));
+  return ReturnTime(ExpectedWait(state->second, now), service_time, Hash64(pending.m_request.m_request_id));
+}
+
+void FairDispatcher::Queue(Pending& pending, Instant now) {
+  ClassState& state = ClassOf(pending.m_request.m_class_name);
+  const DispatchRequest& request = pending.m_request;
+  pending.m_start_tag = state.QueueOf(pending).Push(request.m_request_id, request.m_account, pending.m_weight,
+                                                    pending.m_arrival_sequence);
+  pending.m_look = NextLook(pending, now);
+  m_looks.emplace(pending.m_look, request.m_request_id);
+}
+
+Instant FairDispatcher::NextLook(const Pending& pending, Instant now) const {
+  const DispatchRequest& request = pending.m_request;
+  const double usual = UsualTime(request);
+  const Instant end = QueuedUntil(request, usual);
+  if (pending.m_late || request.m_target_latency_ms <= 0) return end;
+  const Instant in_time =
+      pending.m_arrival + std::chrono::milliseconds(request.m_target_latency_ms) - FromSeconds(usual);
+  return std::min(end, std::max(in_time, now));
 }
 
 std::int64_t FairDispatcher::Queued() const {
   std::int64_t queued = 0;
-  for (const auto& [name, state] : m_classes) queued += state.m_queue.Size();
+  for (const auto& [name, state] : m_classes) queued += state.Waiting();
   return queued;
 }
 
@@ -176,10 +234,9 @@
 bool FairDispatcher::WouldBeLate(const Pending& pending, const ClassState& state, Instant now) const {
   // Before the first list nothing is known of what waits; the queue is given back if none comes.
   if (m_pool.m_discovered && !m_listed) return false;
-  const Duration wait = ExpectedWait(state);
-  const Duration service_time = FromSeconds(state.m_demand.MeanServiceTime());
+  const Duration wait = ExpectedWait(state, now);
   return m_endpoints.All().empty() || wait > std::chrono::milliseconds(state.m_priority.m_max_wait_ms) ||
-         now + wait + service_time > pending.m_request.m_deadline;
+         Admit(LoadOf(state, now), TimeOf(pending, now)) == Admission::kRefuse;
 }
 
 bool FairDispatcher::RefuseEarly(const Pending& pending, const ClassState& state, Instant now,
@@ -187,7 +244,7 @@
   ResultCode code = ResultCode::kOk;
   if (m_suspects.IsQuarantined(pending.m_request.m_fingerprint)) {
     code = ResultCode::kQuarantined;
-  } else if (state.m_queue.Size() >= m_settings.m_max_queued || WouldBeLate(pending, state, now)) {
+  } else if (state.Waiting() >= m_settings.m_max_queued || WouldBeLate(pending, state, now)) {
     code = ResultCode::kNotRun;
   }
   if (code == ResultCode::kOk) return false;
@@ -195,7 +252,7 @@
   record.m_outcome = Info(code).m_name;
   NoteOutcome(false, now);
   out.emplace_back(FinishRequest{pending.m_request.m_request_id, static_cast<std::int64_t>(code),
-                                 TimeToReturn(pending).count() / 1000, 0, false, record});
+                                 TimeToReturn(pending, now).count() / 1000, 0, false, record});
   return true;
 }
 
@@ -216,9 +273,8 @@
   if (request.m_repeatable) m_last_repeatable = now;
   UpdateBounds(now);
   if (RefuseEarly(pending, state, now, out)) return;
-  pending.m_start_tag = state.m_queue.Push(request.m_request_id, request.m_account, pending.m_weight,
-                                           pending.m_arrival_sequence);
-  m_deadlines.emplace(QueuedUntil(request), request.m_request_id);
+  pending.m_late = Admit(LoadOf(state, now), TimeOf(pending, now)) == Admission::kLate;
+  Queue(pending, now);
   m_pending.emplace(request.m_request_id, std::move(pending));
   Pump(now, out);
 }
@@ -228,6 +284,10 @@
   if (!m_endpoints.AnyFree()) return;
   UpdateBounds(now);
   while (const auto choice = ChooseNext(now)) Start(*choice, now, out);
+  if (Queued() == 0)
+    m_backlogged = {};
+  else if (m_backlogged == Instant{})
+    m_backlogged = now;
 }
 
 std::optional<FairDispatcher::Choice> FairDispatcher::ChooseNext(Instant now) {
@@ -251,11 +311,17 @@
 
 std::optional<FairDispatcher::Choice> FairDispatcher::ChooseIn(ClassState& state, Instant now) {
   if (state.m_running >= state.m_bound) return std::nullopt;
+  if (auto choice = ChooseFrom(state, state.m_queue, now)) return choice;
+  return ChooseFrom(state, state.m_late_queue, now);
+}
+
+std::optional<FairDispatcher::Choice> FairDispatcher::ChooseFrom(ClassState& state, RequestQueue& queue,
+                                                                 Instant now) {
   std::size_t looked_at = 0;
-  for (const auto& entry : state.m_queue.InOrder()) {
+  for (const auto& entry : queue.InOrder()) {
     const Pending& pending = m_pending.at(entry.m_request_id);
     const EndpointTable::Need need = NeedOf(pending, now);
-    if (auto* slots = m_endpoints.Choose(need, now)) return Choice{&state, entry, slots};
+    if (auto* slots = m_endpoints.Choose(need, now)) return Choice{&state, &queue, entry, slots};
     if (++looked_at >= kMaxLookAhead) break;
   }
   return std::nullopt;
@@ -287,8 +353,17 @@
   // A retry that fails as well is the end, so it waits as long as there is time.
   const bool retry = pending.m_runs > 0;
   const double time_to_wait = retry ? kRetryTimeToWait : kTimeToWait;
+  // What can't be repeated is rather told that it has not run than lost.
+  if (!request.m_repeatable) {
+    return std::min(kDoubtAtBacklog, DoubtByBacklog(request, usual_time));
+  }
   if (now + FromSeconds(usual_time * time_to_wait) >= request.m_deadline) return 1;
   if (retry) return kDoubtAtBacklog;
+  return DoubtByBacklog(request, usual_time);
+}
+
+double FairDispatcher::DoubtByBacklog(const DispatchRequest& request, double usual_time) const {
+  const auto sound_slots = static_cast<double>(m_endpoints.SoundSlots());
   // What the sound endpoints can't do in time may as well be tried at the others.
   const double backlog = static_cast<double>(Queued() + 1) * usual_time / sound_slots;
   const double target = static_cast<double>(request.m_target_latency_ms) / kMillisecondsPerSecond;
@@ -306,8 +381,7 @@
 }
 
 double FairDispatcher::UsualTime(const DispatchRequest& request) const {
-  const auto found = m_route_service_time.find(request.m_route);
-  return found == m_route_service_time.end() ? 0 : found->second.Value();
+  return m_endpoints.Times().UsualTime(request.m_route);
 }
 
 void FairDispatcher::Start(const Choice& choice, Instant now, DispatchEffects& out) {
@@ -317,8 +391,8 @@
   // Explain first, while the queue still shows what was passed over.
   DecisionRecord record = MakeRecord(pending, now);
   AddPassedOver(choice, pending, record);
-  choice.m_class->m_queue.Serve(entry);
-  m_deadlines.erase({QueuedUntil(pending.m_request), entry.m_request_id});
+  choice.m_queue->Serve(entry);
+  m_looks.erase({pending.m_look, entry.m_request_id});
   for (auto& [name, state] : m_classes) ++state.m_picks_of_others;
   choice.m_class->m_picks_of_others = 0;
   pending.m_alone = m_suspects.IsSuspect(pending.m_request.m_fingerprint);
@@ -330,10 +404,12 @@
   const DispatchRequest& request = pending.m_request;
   ++pending.m_attempts;
   ++pending.m_runs;
+  m_starts.Add(now);
   pending.m_endpoint = slots.m_name;
-  const std::int64_t ticket = m_endpoints.Take(slots, request.m_class_name, pending.m_alone, now);
-  pending.m_running.push_back({pending.m_attempts, slots.m_name, request.m_class_name, ticket, now, false,
-                               slots.m_placement.Doubt(now)});
+  const std::int64_t ticket =
+      m_endpoints.Take(slots, request.m_class_name, pending.m_alone, request.m_route, now);
+  pending.m_running.push_back(
+      {pending.m_attempts, slots.m_name, request.m_class_name, ticket, now, slots.m_placement.Doubt(now)});
   ++ClassOf(request.m_class_name).m_running;
   record.m_attempt = pending.m_attempts;
   record.m_endpoint = slots.m_name;
@@ -350,15 +426,14 @@
   const auto floor = std::chrono::milliseconds(m_settings.m_progress_timeout_ms);
   // Work that must not repeat is waited for until its deadline: giving it up early gains nothing.
   if (!pending.m_request.m_repeatable) return std::chrono::hours(1);
-  const auto found = m_route_service_time.find(pending.m_request.m_route);
-  if (found == m_route_service_time.end()) return floor;
-  return std::max<Duration>(floor, FromSeconds(found->second.Value() * kProgressFactor));
+  return std::max<Duration>(floor, FromSeconds(UsualTime(pending.m_request) * kProgressFactor));
 }
 
 void FairDispatcher::DropQueued(Pending& pending) {
   assert(pending.m_running.empty());
-  ClassOf(pending.m_request.m_class_name).m_queue.Remove(pending.m_start_tag, pending.m_arrival_sequence);
-  m_deadlines.erase({QueuedUntil(pending.m_request), pending.m_request.m_request_id});
+  ClassState& state = ClassOf(pending.m_request.m_class_name);
+  state.QueueOf(pending).Remove(pending.m_start_tag, pending.m_arrival_sequence);
+  m_looks.erase({pending.m_look, pending.m_request.m_request_id});
 }
 
 void FairDispatcher::Finish(Pending& pending, ResultCode code, Duration retry_after, Instant now,
@@ -369,7 +444,7 @@
   record.m_endpoint = pending.m_endpoint;
   record.m_retries_left = m_retry_budget.Left(now);
   const std::string request_id = pending.m_request.m_request_id;
-  AbandonAttempts(pending, out);
+  AbandonAttempts(pending, now, out);
   out.emplace_back(FinishRequest{request_id, static_cast<std::int64_t>(code),
                                  std::max<std::int64_t>(1, retry_after.count() / 1000), 0,
                                  pending.m_maybe_ran, std::move(record)});
@@ -377,21 +452,20 @@
 }
 
 void FairDispatcher::Requeue(Pending& pending, Instant now) {
-  ClassState& state = ClassOf(pending.m_request.m_class_name);
   const DispatchRequest& request = pending.m_request;
   const auto target = std::chrono::milliseconds(request.m_target_latency_ms);
-  const bool late =
-      target > Duration(0) && now + FromSeconds(UsualTime(request)) > pending.m_arrival + target;
-  if (late) {
-    // Its full value is lost already; those that can still be answered in time go before it.
+  // Its full value is lost already: those that can still be answered in time go before it.
+  pending.m_late = target > Duration(0) && now + FromSeconds(UsualTime(request)) > pending.m_arrival + target;
+  if (pending.m_late) {
     pending.m_arrival_sequence = m_next_arrival++;
-    pending.m_start_tag = state.m_queue.Push(request.m_request_id, request.m_account, pending.m_weight,
-                                             pending.m_arrival_sequence);
+    Queue(pending, now);
   } else {
     // It keeps its place; it has waited its turn already.
-    state.m_queue.PutBack(request.m_request_id, pending.m_start_tag, pending.m_arrival_sequence);
+    ClassOf(request.m_class_name)
+        .m_queue.PutBack(request.m_request_id, pending.m_start_tag, pending.m_arrival_sequence);
+    pending.m_look = NextLook(pending, now);
+    m_looks.emplace(pending.m_look, request.m_request_id);
   }
-  m_deadlines.emplace(QueuedUntil(request), request.m_request_id);
   // When every endpoint has failed it once, any may be tried again.
   if (pending.m_failed_endpoints.size() >= m_endpoints.All().size()) pending.m_failed_endpoints.clear();
   UpdateBounds(now);
@@ -414,10 +488,17 @@
 }
 
 void FairDispatcher::ExpireQueued(Instant now, DispatchEffects& out) {
-  while (!m_deadlines.empty() && m_deadlines.begin()->first <= now) {
-    Pending& pending = m_pending.at(m_deadlines.begin()->second);
+  while (!m_looks.empty() && m_looks.begin()->first <= now) {
+    Pending& pending = m_pending.at(m_looks.begin()->second);
     DropQueued(pending);
-    FinishFailed(pending, now, out);
+    const bool over = now >= QueuedUntil(pending.m_request, UsualTime(pending.m_request));
+    const ClassState& state = ClassOf(pending.m_request.m_class_name);
+    if (over || Admit(LoadOf(state, now), TimeOf(pending, now)) == Admission::kRefuse) {
+      FinishFailed(pending, now, out);
+      continue;
+    }
+    pending.m_late = true;
+    Queue(pending, now);
   }
 }
 
@@ -441,6 +522,11 @@
   Pump(now, out);
 }
 
+void FairDispatcher::NotePause(Instant now) {
+  m_last_pause = now;
+  m_endpoints.NotePause(now);
+}
+
 void FairDispatcher::SetLeaving(const std::string& endpoint, bool leaving, Instant now,
                                 DispatchEffects& out) {
   m_endpoints.SetLeaving(endpoint, leaving, now);
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -7,6 +7,7 @@
 #include <string>
 #include <vector>
 
+#include "fescueramp/dispatch/admission.h"
 #include "fescueramp/dispatch/class_share.h"
 #include "fescueramp/dispatch/dispatcher.h"
 #include "fescueramp/dispatch/endpoint_table.h"
@@ -35,7 +36,7 @@
   void Cancel(const std::string& request_id, Instant now, DispatchEffects& out) override;
   void EndAttempt(const AttemptResult& result, Instant now, DispatchEffects& out) override;
   void Tick(Instant now, DispatchEffects& out) override;
-  void NotePause(Instant now) override { m_last_pause = now; }
+  void NotePause(Instant now) override;
   void SetLeaving(const std::string& endpoint, bool leaving, Instant now, DispatchEffects& out) override;
   std::vector<std::string> ReleaseQueue() override;
   DispatcherLoad Load(Instant now) const override;
@@ -47,6 +48,7 @@
 
  private:
   static constexpr Duration kOutcomeMemory = std::chrono::seconds(2);
+  static constexpr Duration kStartMemory = std::chrono::milliseconds(500);  ///< Two usual service times.
 
   /// An attempt that has not ended.
   struct Attempt {
@@ -55,8 +57,7 @@
     std::string m_class_name;
     std::int64_t m_ticket = 0;  ///< Of its slot.
     Instant m_started{};
-    bool m_overdue = false;  ///< Whether its length has been held against the endpoint.
-    double m_doubt = 0;      ///< Doubt of the endpoint at its start.
+    double m_doubt = 0;  ///< Doubt of the endpoint at its start.
   };
 
   /// A request from its arrival to its end.
@@ -65,6 +66,7 @@
     std::vector<Attempt> m_running;
     bool m_alone = false;
     bool m_cancelled = false;  ///< Whether the caller left.
+    bool m_late = false;       ///< Whether it waits behind those that can still be answered in time.
     bool m_maybe_ran = false;  ///< Whether an earlier attempt may have run.
     Instant m_arrival{};
     std::int64_t m_arrival_sequence = 0;
@@ -76,23 +78,29 @@
     std::int64_t m_answered_with = 0;  ///< Attempt whose error answer goes out if none is better; 0 for none.
     std::string m_endpoint;            ///< Of the last attempt.
     std::set<std::string> m_failed_endpoints;
+    Instant m_look{};  ///< While it waits: when it is looked at again.
   };
 
   /// Queue and demand of one priority.
   struct ClassState {
     std::string m_name;
     Priority m_priority;
-    RequestQueue m_queue;
+    RequestQueue m_queue;       ///< Requests that can still be answered in time.
+    RequestQueue m_late_queue;  ///< Requests that take what these leave over.
     ClassDemand m_demand;
     std::int64_t m_running = 0;
     std::int64_t m_reserve = 0;  ///< Slots it must leave, by the demand of shorter classes before it.
     std::int64_t m_bound = 0;    ///< Slots it may hold.
     std::int64_t m_picks_of_others = 0;
+
+    RequestQueue& QueueOf(const Pending& pending) { return pending.m_late ? m_late_queue : m_queue; }
+    std::int64_t Waiting() const { return m_queue.Size() + m_late_queue.Size(); }
   };
 
   /// Next request and the slot it takes.
   struct Choice {
     ClassState* m_class = nullptr;
+    RequestQueue* m_queue = nullptr;
     RequestQueue::Entry m_entry;
     EndpointTable::Slots* m_slots = nullptr;
     bool m_starved = false;  ///< Whether its class got its turn out of order.
@@ -101,8 +109,20 @@
   ClassState& ClassOf(const std::string& name);
   std::vector<ClassState*> ByRank();
   void UpdateBounds(Instant now);
-  Duration ExpectedWait(const ClassState& state) const;
-  Duration TimeToReturn(const Pending& pending) const;
+  /// Requests that the endpoints can begin a second; 0 when it is not known.
+  double CapacityPerSecond(double service_time, Instant now) const;
+
+  /// Load as a request of a class sees it.
+  AdmissionLoad LoadOf(const ClassState& state, Instant now) const;
+  AdmissionTime TimeOf(const Pending& pending, Instant now) const;
+  Duration ExpectedWait(const ClassState& state, Instant now) const;
+
+  /// Puts a request into the queue that its time allows.
+  void Queue(Pending& pending, Instant now);
+
+  /// Time at which a waiting request is looked at again: when it can't be in time any more, or at all.
+  Instant NextLook(const Pending& pending, Instant now) const;
+  Duration TimeToReturn(const Pending& pending, Instant now) const;
   /// Gives a request to another part of the service while this one has no room for it.
   bool MoveElsewhere(const Pending& pending, Instant now, DispatchEffects& out);
   std::int64_t Queued() const;
@@ -115,6 +135,7 @@
   void Pump(Instant now, DispatchEffects& out);
   std::optional<Choice> ChooseNext(Instant now);
   std::optional<Choice> ChooseIn(ClassState& state, Instant now);
+  std::optional<Choice> ChooseFrom(ClassState& state, RequestQueue& queue, Instant now);
   void Start(const Choice& choice, Instant now, DispatchEffects& out);
   void StartOn(Pending& pending, EndpointTable::Slots& slots, DecisionRecord record, Instant now,
                DispatchEffects& out);
@@ -123,6 +144,7 @@
   /// Doubt of an endpoint above which a request should rather wait for another one; 1 when it should not
   /// wait.
   double MostDoubt(const Pending& pending, double usual_time, Instant now) const;
+  double DoubtByBacklog(const DispatchRequest& request, double usual_time) const;
   void NoteOutcome(bool served, Instant now);
   std::vector<LiveEndpoint> PoolEndpoints(const ObjectSet& set) const;
   void ConfigureRetries();
@@ -134,13 +156,12 @@
   void Deliver(Pending& pending, std::int64_t attempt, Instant now, DispatchEffects& out);
 
   /// Gives up the attempts of a request that still run; their slots stay taken until they have ended.
-  void AbandonAttempts(Pending& pending, DispatchEffects& out);
+  void AbandonAttempts(Pending& pending, Instant now, DispatchEffects& out);
 
   /// Gives waiting requests back to their entry hosts, for another dispatcher.
   void HandBack(Instant now, DispatchEffects& out);
   std::optional<Attempt> TakeAttempt(const AttemptResult& result);
   void WatchAttempts(Instant now, DispatchEffects& out);
-  void HoldOverdue(const Pending& pending, Attempt& attempt, Instant now);
   void Hedge(Pending& pending, Instant now, DispatchEffects& out);
   void Requeue(Pending& pending, Instant now);
   void EndFailedAttempt(Pending& pending, const Attempt& attempt, const AttemptResult& result, Instant now,
@@ -168,9 +189,8 @@
   EndpointTable m_endpoints;
   std::map<std::string, ClassState> m_classes;
   std::map<std::string, Pending> m_pending;
-  std::set<std::pair<Instant, std::string>> m_deadlines;  ///< Ends of the wait of queued requests.
+  std::set<std::pair<Instant, std::string>> m_looks;  ///< Times at which queued requests are looked at again.
   std::map<std::pair<std::string, std::int64_t>, Attempt> m_abandoned;  ///< By request id and number.
-  std::map<std::string, MovingAverage> m_route_service_time;
   RetryBudget m_retry_budget;
   HedgePolicy m_hedges;
   PathWatch m_paths;
@@ -178,6 +198,8 @@
   std::vector<LiveEndpoint> m_live;
   bool m_listed = false;                    ///< Whether live endpoints have been listed.
   Instant m_last_repeatable{};              ///< Arrival of the last repeatable request.
+  RateEstimate m_starts{kStartMemory};      ///< Attempts.
+  Instant m_backlogged{};                   ///< Since when requests have waited; none when none does.
   RateEstimate m_served{kOutcomeMemory};    ///< Requests that ended well.
   RateEstimate m_unserved{kOutcomeMemory};  ///< Requests that did not.
   SuspectList m_suspects;
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -7,9 +7,7 @@
 namespace {
 
 constexpr std::int64_t kMaxRefusals = 50;  ///< Sheds and failed connects of one request before it ends.
-constexpr std::size_t kMaxRoutesTracked = 10'000;
-constexpr double kSlowFactor = 3;     ///< Multiple of the usual time that counts as slow.
-constexpr double kOverdueFactor = 4;  ///< Multiple of the usual time after which missing work counts as slow.
+constexpr double kSlowFactor = 3;          ///< Multiple of the usual time that counts as slow.
 constexpr double kTimeNeeded =
     0.5;  ///< Share of the usual time that must be left for an attempt to be of use.
 constexpr std::int64_t kRetriesKept = 8;  ///< Retries kept from hedging, for work that has failed.
@@ -23,6 +21,12 @@
          outcome == AttemptOutcome::kMisdirected || outcome == AttemptOutcome::kUnreachable;
 }
 
+/// Whether the endpoint took the work and was not heard of again; how long that lasted is the evidence.
+bool WentUnanswered(AttemptOutcome outcome) {
+  return outcome == AttemptOutcome::kSilent || outcome == AttemptOutcome::kTimedOut ||
+         outcome == AttemptOutcome::kCancelled;
+}
+
 /// Whether the way to the endpoint may be to blame.
 bool PathFailed(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kUnreachable || outcome == AttemptOutcome::kUnacknowledged;
@@ -34,10 +38,6 @@
       return relative_time > kSlowFactor ? Evidence::kSlow : Evidence::kGood;
     case AttemptOutcome::kServerError:
       return Evidence::kError;
-    case AttemptOutcome::kSilent:
-    case AttemptOutcome::kTimedOut:
-      // The connection may be to blame, or the work may be long.
-      return Evidence::kSlow;
     default:
       return Evidence::kFailed;
   }
@@ -81,10 +81,7 @@
       state.m_demand.AddServiceTime(result.m_latency);
       m_hedges.AddLatency(pending.m_request.m_route, result.m_latency);
     }
-    if (measured && m_route_service_time.size() < kMaxRoutesTracked) {
-      m_route_service_time.try_emplace(pending.m_request.m_route, 0.02)
-          .first->second.Add(ToSeconds(result.m_latency));
-    }
+    if (measured) m_endpoints.Times().AddAnswer(pending.m_request.m_route, result.m_latency);
     m_suspects.Clear(pending.m_request.m_fingerprint);
     m_endpoints.Accepted(attempt->m_endpoint);
     m_paths.NoteReached(attempt->m_endpoint);
@@ -127,7 +124,11 @@
   const bool cold = false;
   if (result.m_outcome == AttemptOutcome::kShed) {
     m_endpoints.NoteRefused(attempt.m_endpoint, now);
-  } else if (result.m_outcome != AttemptOutcome::kCancelled) {
+  } else if (WentUnanswered(result.m_outcome)) {
+    m_endpoints.NoteUnanswered(attempt.m_endpoint, attempt.m_ticket, now);
+    if (result.m_outcome != AttemptOutcome::kCancelled) m_endpoints.Times().AddFailure(true);
+  } else {
+    if (result.m_outcome == AttemptOutcome::kBroken) m_endpoints.Times().AddFailure(false);
     const double usual = UsualTime(pending.m_request);
     // How long it takes while it is cold says nothing about how it runs.
     const double relative = usual > 0 && !cold ? ToSeconds(result.m_latency) / usual : 0;
@@ -147,14 +148,15 @@
 void FairDispatcher::Deliver(Pending& pending, std::int64_t attempt, Instant now, DispatchEffects& out) {
   NoteOutcome(attempt != pending.m_answered_with, now);
   const std::string request_id = pending.m_request.m_request_id;
-  AbandonAttempts(pending, out);
+  AbandonAttempts(pending, now, out);
   out.emplace_back(DeliverAnswer{request_id, attempt});
   m_pending.erase(request_id);
 }
 
-void FairDispatcher::AbandonAttempts(Pending& pending, DispatchEffects& out) {
+void FairDispatcher::AbandonAttempts(Pending& pending, Instant now, DispatchEffects& out) {
   const std::string& request_id = pending.m_request.m_request_id;
   for (auto& attempt : pending.m_running) {
+    m_endpoints.NoteUnanswered(attempt.m_endpoint, attempt.m_ticket, now);
     out.emplace_back(CancelAttempt{request_id, attempt.m_number});
     m_abandoned.emplace(std::pair(request_id, attempt.m_number), std::move(attempt));
   }
@@ -213,14 +215,13 @@
   } else if (now >= pending.m_request.m_deadline) {
     code = ResultCode::kDeadlineExceeded;
   }
-  Finish(pending, code, code == ResultCode::kNotRun ? TimeToReturn(pending) : Duration(0), now, out);
+  Finish(pending, code, code == ResultCode::kNotRun ? TimeToReturn(pending, now) : Duration(0), now, out);
   if (m_suspects.IsQuarantined(fingerprint)) FinishQuarantined(fingerprint, now, out);
 }
 
 void FairDispatcher::WatchAttempts(Instant now, DispatchEffects& out) {
   std::vector<std::string> late;
   for (auto& [id, pending] : m_pending) {
-    for (auto& attempt : pending.m_running) HoldOverdue(pending, attempt, now);
     const bool single = pending.m_running.size() == 1 && pending.m_request.m_repeatable;
     if (!single || pending.m_cancelled || pending.m_runs >= pending.m_request.m_max_attempts) continue;
     const Duration target = std::chrono::milliseconds(pending.m_request.m_target_latency_ms);
@@ -231,19 +232,11 @@
   for (const auto& id : late) Hedge(m_pending.at(id), now, out);
 }
 
-void FairDispatcher::HoldOverdue(const Pending& pending, Attempt& attempt, Instant now) {
-  const double usual = UsualTime(pending.m_request);
-  if (attempt.m_overdue || usual <= 0 || attempt.m_started < m_last_pause) return;
-  if (ToSeconds(now - attempt.m_started) < usual * kOverdueFactor) return;
-  attempt.m_overdue = true;
-  m_endpoints.Observe(attempt.m_endpoint, Evidence::kSlow, 0, attempt.m_started, now);
-}
-
 void FairDispatcher::Hedge(Pending& pending, Instant now, DispatchEffects& out) {
   const ClassState& state = ClassOf(pending.m_request.m_class_name);
   const Duration needed = FromSeconds(UsualTime(pending.m_request));
   // A slot that work waits for is worth more to that work.
-  if (!state.m_queue.Empty() || state.m_running >= state.m_bound) return;
+  if (state.Waiting() > 0 || state.m_running >= state.m_bound) return;
   if (now + needed > pending.m_request.m_deadline || m_retry_budget.Left(now) <= kRetriesKept) return;
   std::set<std::string> avoid = pending.m_failed_endpoints;
   avoid.insert(pending.m_running.front().m_endpoint);
--- a/fescueramp/dispatch/fair_dispatcher_records.cc
+++ b/fescueramp/dispatch/fair_dispatcher_records.cc
@@ -24,8 +24,8 @@
   record.m_slots = m_endpoints.TotalUsable();
   record.m_busy = m_endpoints.TotalBusy();
   for (const auto& [name, state] : m_classes) {
-    record.m_classes.push_back({name, state.m_priority.m_rank, state.m_queue.Size(), state.m_running,
-                                state.m_bound, state.m_reserve});
+    record.m_classes.push_back(
+        {name, state.m_priority.m_rank, state.Waiting(), state.m_running, state.m_bound, state.m_reserve});
   }
   return record;
 }
@@ -33,8 +33,9 @@
 void FairDispatcher::AddPassedOver(const Choice& choice, const Pending& pending, DecisionRecord& record) {
   record.m_rule = choice.m_starved ? OrderRule::kStarvation : OrderRule::kArrival;
   for (const auto& [name, state] : m_classes) {
-    if (state.m_queue.Empty()) continue;
-    const auto& [arrival_sequence, request_id] = *state.m_queue.ByArrival().begin();
+    const RequestQueue& queue = state.m_queue.Empty() ? state.m_late_queue : state.m_queue;
+    if (queue.Empty()) continue;
+    const auto& [arrival_sequence, request_id] = *queue.ByArrival().begin();
     if (arrival_sequence >= pending.m_arrival_sequence) continue;
     const OrderRule rule = WhyPassedOver(choice, state, m_pending.at(request_id));
     record.m_passed_over.push_back({request_id, name, rule});
--- a/fescueramp/dispatch/placement.cc
+++ b/fescueramp/dispatch/placement.cc
@@ -32,8 +32,9 @@
 
 void PlacementState::Observe(Evidence evidence, double relative_time, Instant started, Instant now) {
   const bool outdated = evidence == Evidence::kGood && started < m_failed_at;
-  if (!outdated) m_filter.Observe(evidence, now);
+  if (!outdated) m_filter.Observe(evidence, started, now);
   if (evidence == Evidence::kFailed) m_failed_at = now;
+  m_heard = m_heard || evidence != Evidence::kFailed;
   m_refused = RefusedShare(now) * (1 - kRefusalWeight);
   m_refused_at = now;
   if (relative_time <= 0) return;
@@ -52,6 +53,10 @@
 
 bool PlacementState::Sound(Instant now) const { return m_filter.Probability(now) < kUnsoundDoubt; }
 
+double PlacementState::Slowness(Instant now) const {
+  return std::max(1.0, m_relative_time) * (Cold(now) ? kColdFactor : 1);
+}
+
 bool PlacementState::DueForSpread(const Need& need, const Load& load, Instant now) const {
   if (load.m_busy >= load.m_slots) return false;
   if (need.m_try_all) return now - m_last_used > (Sound(now) ? kSoundPeriod : kDoubtPeriod);
--- a/fescueramp/dispatch/placement.h
+++ b/fescueramp/dispatch/placement.h
@@ -33,6 +33,20 @@
   /// @param started Start of the work.
   void Observe(Evidence evidence, double relative_time, Instant started, Instant now);
 
+  /// Notes work that ended without an answer, by how much likelier that is in a gray failure.
+  void ObserveHung(double odds, Instant now) { m_filter.ObserveOdds(odds, now); }
+
+  /// Sets the odds of a gray failure by the work that runs there now.
+  void SetRunningOdds(double odds) { m_filter.SetRunningOdds(odds); }
+
+  /// Time that work takes here, in multiples of the usual time; at least 1.
+  double Slowness(Instant now) const;
+
+  double GrayFailures() const { return m_filter.GrayFailures(); }
+
+  /// Odds of a gray failure by one good answer.
+  double GoodOdds() const { return m_filter.GoodOdds(); }
+
   /// Notes that the endpoint refused work for which it had a slot: that costs a retry, but not the work.
   void NoteRefused(Instant now);
 
@@ -54,6 +68,9 @@
 
   double Doubt(Instant now) const { return m_filter.Probability(now); }
 
+  /// Whether the endpoint has answered before.
+  bool Heard() const { return m_heard; }
+
   /// Whether the endpoint is in no serious doubt.
   bool Sound(Instant now) const;
 
@@ -64,6 +81,7 @@
   double m_relative_time = 1;  ///< Moving average of times, in multiples of the usual time.
   double m_refused = 0;        ///< Share of recent work that was refused.
   Instant m_refused_at{};
+  bool m_heard = false;
   Instant m_failed_at{};  ///< Last time at which work broke off.
   Instant m_last_used{};
   Instant m_warm_at{};
--- a/fescueramp/health/gray_filter.cc
+++ b/fescueramp/health/gray_filter.cc
@@ -39,6 +39,12 @@
       m_probability(m_prior) {}
 
 double GrayFilter::Probability(Instant now) const {
+  const double settled = Settled(now);
+  const double gray = settled * m_running_odds;
+  return gray / (gray + 1 - settled);
+}
+
+double GrayFilter::Settled(Instant now) const {
   const double seconds = std::max(0.0, ToSeconds(now - m_updated));
   return m_prior + (m_probability - m_prior) * std::exp(-m_decay_per_s * seconds);
 }
@@ -49,11 +55,24 @@
   return gray * m_settings.m_gray_failures + (1 - gray) * sound_share;
 }
 
-void GrayFilter::Observe(Evidence evidence, Instant now) {
-  const double before = Probability(now);
+void GrayFilter::Observe(Evidence evidence, Instant started, Instant now) {
   const Likelihood likelihood = LikelihoodOf(evidence, m_settings);
-  const double gray = before * likelihood.m_gray;
-  m_probability = std::clamp(gray / (gray + (1 - before) * likelihood.m_sound), kLeastDoubt, kSurest);
+  ObserveOdds(likelihood.m_gray / likelihood.m_sound, now);
+  if (evidence != Evidence::kGood) return;
+  m_updated = std::min(started, now);
+  m_probability = Settled(now);
+  m_updated = now;
+}
+
+double GrayFilter::GoodOdds() const {
+  const Likelihood good = LikelihoodOf(Evidence::kGood, m_settings);
+  return good.m_gray / good.m_sound;
+}
+
+void GrayFilter::ObserveOdds(double odds, Instant now) {
+  const double before = Settled(now);
+  const double gray = before * odds;
+  m_probability = std::clamp(gray / (gray + 1 - before), kLeastDoubt, kSurest);
   m_updated = now;
 }
 
--- a/fescueramp/health/gray_filter.h
+++ b/fescueramp/health/gray_filter.h
@@ -22,7 +22,7 @@
   double m_sound_errors = 0.012;                     ///< Share of errors answered by a sound endpoint.
   double m_gray_errors = 0.2;                        ///< Share of errors answered by a gray one.
   double m_sound_slow = 0.04;                        ///< Share of slow work at a sound endpoint.
-  double m_gray_slow = 0.2;                          ///< Share of slow work at a gray one.
+  double m_gray_slow = 0.06;                         ///< Share of slow work that a gray one answers.
 };
 
 /// Probability that one endpoint is in a gray failure, from the outcomes of its work.
@@ -35,7 +35,14 @@
  public:
   explicit GrayFilter(GrayFilterSettings settings = {});
 
-  void Observe(Evidence evidence, Instant now);
+  /// @param started Start of the work: what a good answer tells is as old as that.
+  void Observe(Evidence evidence, Instant started, Instant now);
+
+  /// Takes evidence in by how much likelier it is at an endpoint in a gray failure.
+  void ObserveOdds(double odds, Instant now);
+
+  /// Sets the odds by work that still runs; they count until they are set anew.
+  void SetRunningOdds(double odds) { m_running_odds = odds; }
 
   /// Probability that the endpoint is failing grayly at `now`.
   double Probability(Instant now) const;
@@ -43,11 +50,21 @@
   /// Probability that work sent at `now` fails.
   double FailureProbability(Instant now) const;
 
+  /// Odds of a gray failure by one good answer.
+  double GoodOdds() const;
+
+  /// Share of work that fails at an endpoint in a gray failure.
+  double GrayFailures() const { return m_settings.m_gray_failures; }
+
  private:
+  /// Probability by what has ended.
+  double Settled(Instant now) const;
+
   GrayFilterSettings m_settings;
   double m_prior;
   double m_decay_per_s;
   double m_probability;
+  double m_running_odds = 1;
   Instant m_updated{};
 };
 
--- /dev/null
+++ b/unit_tests/load_replay.cc
@@ -0,0 +1,182 @@
+#include "unit_tests/load_replay.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "fescueramp/config/object_set.h"
+#include "fescueramp/core/json_codec.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr double kHangShare = 0.75;
+constexpr double kRefuseShare = 0.5;
+constexpr double kTailShare = 0.03;
+constexpr double kTailFactor = 7;
+
+std::shared_ptr<const RouteTable> Table(const LoadPattern& pattern) {
+  json::array names;
+  json::object endpoints;
+  for (int i = 0; i < pattern.m_endpoints; ++i) {
+    const std::string name = "e" + std::to_string(i);
+    names.push_back(json::string(name));
+    endpoints[name] = {{"address", "127.0.0.1"}, {"port", 9000 + i}, {"zone", "az0"}};
+  }
+  json::object set;
+  set["endpoints"] = std::move(endpoints);
+  set["pools"] = {{"work", {{"endpoints", names}, {"slots", pattern.m_slots}}}};
+  set["services"] = {
+      {"work", {{"pool", "work"}, {"floor", 0.7}, {"by_belief", true}, {"hedge_quantile", 0.93}}}};
+  set["priorities"] = {{"work", {{"rank", 0}, {"max_wait_ms", 3600000}}}};
+  set["routes"] = {{"work",
+                    {{"method", "POST"},
+                     {"path_prefix", "/"},
+                     {"service", "work"},
+                     {"priority", "work"},
+                     {"repeatable", pattern.m_repeatable}}}};
+  return std::make_shared<RouteTable>(1, ParseObjectSet(json::serialize(set)).m_set);
+}
+
+}  // namespace
+
+LoadReplay::LoadReplay(LoadPattern pattern) : m_pattern(std::move(pattern)), m_random(m_pattern.m_seed) {
+  m_dispatcher = std::make_unique<FairDispatcher>(ServicePart{"work", {}}, "n0", "az0");
+  m_start = m_clock.Now();
+  DispatchEffects out;
+  m_dispatcher->Configure(Table(m_pattern), out, m_clock.Now());
+}
+
+LoadResult LoadReplay::Run() {
+  double due = 0;
+  const double all = m_pattern.m_seconds + ToSeconds(m_pattern.m_patience);
+  while (Seconds() < all) {
+    m_clock.Advance(kStep);
+    EndDue();
+    DispatchEffects out;
+    m_dispatcher->Tick(m_clock.Now(), out);
+    Apply(out);
+    while (!m_returns.empty() && m_returns.begin()->first <= m_clock.Now()) {
+      const int caller = m_returns.begin()->second;
+      m_returns.erase(m_returns.begin());
+      Ask(caller);
+    }
+    if (Seconds() >= m_pattern.m_seconds) continue;
+    due += m_pattern.m_arrivals_per_s(Seconds()) * ToSeconds(kStep);
+    for (; due >= 1; --due) {
+      m_callers.push_back({m_clock.Now(), m_clock.Now(), 0});
+      ++m_result.m_asked;
+      Ask(static_cast<int>(m_callers.size()) - 1);
+    }
+  }
+  return m_result;
+}
+
+int LoadReplay::CallerOf(const std::string& request_id) const {
+  return std::stoi(request_id.substr(1, request_id.find('.') - 1));
+}
+
+void LoadReplay::Ask(int caller) {
+  Caller& state = m_callers[static_cast<std::size_t>(caller)];
+  state.m_asked = m_clock.Now();
+  DispatchRequest request;
+  request.m_request_id = "r" + std::to_string(caller) + "." + std::to_string(++state.m_tries);
+  request.m_service = "work";
+  request.m_route = "work";
+  request.m_class_name = "work";
+  request.m_repeatable = m_pattern.m_repeatable;
+  request.m_fingerprint = static_cast<std::uint64_t>(caller) + 1;
+  request.m_target_latency_ms = m_pattern.m_target.count() / 1000;
+  request.m_max_attempts = 2;
+  request.m_deadline = std::min(m_clock.Now() + m_pattern.m_timeout, state.m_first + m_pattern.m_patience);
+  DispatchEffects out;
+  m_dispatcher->Enqueue(request, m_clock.Now(), out);
+  Apply(out);
+}
+
+void LoadReplay::Apply(const DispatchEffects& effects) {
+  for (const auto& effect : effects) {
+    std::visit([&](const auto& item) { Apply(item); }, effect);
+  }
+}
+
+void LoadReplay::Apply(const StartAttempt& effect) {
+  const int endpoint = std::stoi(effect.m_endpoint.substr(1));
+  const EndpointMode mode = m_pattern.m_mode ? m_pattern.m_mode(endpoint, Seconds()) : EndpointMode::kSound;
+  Running running{effect, AttemptOutcome::kAnswered, m_clock.Now()};
+  std::normal_distribution<double> normal;
+  double seconds = ToSeconds(m_pattern.m_service_time) * std::exp(normal(m_random) * m_pattern.m_spread);
+  if (Draw() < kTailShare) seconds *= kTailFactor;
+  if (mode == EndpointMode::kRefuses && Draw() < kRefuseShare) {
+    running.m_outcome = AttemptOutcome::kShed;
+    seconds = ToSeconds(kStep);
+  } else {
+    if (!m_ran.insert(effect.m_request_id).second && !m_pattern.m_repeatable)
+      m_result.m_breaches.push_back(effect.m_request_id + " ran twice");
+    if (mode == EndpointMode::kHangs && Draw() < kHangShare) seconds = ToSeconds(m_pattern.m_patience);
+  }
+  Instant end = m_clock.Now() + FromSeconds(seconds);
+  const Instant limit = std::min(effect.m_deadline, m_clock.Now() + effect.m_progress_timeout);
+  if (end > limit) {
+    end = limit;
+    running.m_outcome = AttemptOutcome::kTimedOut;
+  }
+  m_ends.emplace(end, running);
+}
+
+void LoadReplay::EndDue() {
+  while (!m_ends.empty() && m_ends.begin()->first <= m_clock.Now()) {
+    const Running running = m_ends.begin()->second;
+    m_ends.erase(m_ends.begin());
+    AttemptResult result;
+    result.m_request_id = running.m_start.m_request_id;
+    result.m_attempt = running.m_start.m_attempt;
+    result.m_outcome = running.m_outcome;
+    result.m_latency = m_clock.Now() - running.m_started;
+    const bool lost = running.m_outcome == AttemptOutcome::kTimedOut;
+    if (lost) ++m_result.m_lost_at[running.m_start.m_endpoint];
+    DispatchEffects out;
+    m_dispatcher->EndAttempt(result, m_clock.Now(), out);
+    Apply(out);
+  }
+}
+
+void LoadReplay::Apply(const FinishRequest& effect) {
+  const int caller = CallerOf(effect.m_request_id);
+  const Caller& state = m_callers[static_cast<std::size_t>(caller)];
+  if (effect.m_maybe_ran) {
+    ++m_result.m_lost;
+    return;
+  }
+  if (m_ran.contains(effect.m_request_id))
+    m_result.m_breaches.push_back(effect.m_request_id + " was told not run, but ran");
+  if (m_clock.Now() - state.m_asked > m_pattern.m_target / 8) ++m_result.m_held;
+  // Callers wait as they are told, but no longer than a third of the time they have left.
+  const Duration left = state.m_first + m_pattern.m_patience - m_clock.Now();
+  const Duration wait = std::min<Duration>(std::chrono::milliseconds(effect.m_retry_after_ms), left / 3);
+  const bool returns = m_pattern.m_callers_return && left - wait > m_pattern.m_service_time;
+  if (returns)
+    m_returns.emplace(m_clock.Now() + wait, caller);
+  else
+    ++m_result.m_refused;
+}
+
+void LoadReplay::Apply(const DeliverAnswer& effect) {
+  const Caller& state = m_callers[static_cast<std::size_t>(CallerOf(effect.m_request_id))];
+  const bool in_target = m_clock.Now() - state.m_first <= m_pattern.m_target;
+  ++(in_target ? m_result.m_in_target : m_result.m_late);
+}
+
+void LoadReplay::Apply(const CancelAttempt& effect) {
+  for (auto item = m_ends.begin(); item != m_ends.end(); ++item) {
+    const StartAttempt& start = item->second.m_start;
+    if (start.m_request_id != effect.m_request_id || start.m_attempt != effect.m_attempt) continue;
+    Running running = item->second;
+    running.m_outcome = AttemptOutcome::kCancelled;
+    m_ends.erase(item);
+    m_ends.emplace(m_clock.Now() + kStep, running);
+    return;
+  }
+}
+
+}  // namespace fescueramp
--- a/unit_tests/placement_test.cc
+++ b/unit_tests/placement_test.cc
@@ -61,7 +61,7 @@
   GrayFilter filter;
   for (const Evidence evidence : row.m_evidence) {
     clock.Advance(milliseconds(10));
-    filter.Observe(evidence, clock.Now());
+    filter.Observe(evidence, clock.Now(), clock.Now());
   }
   const double doubt = filter.Probability(clock.Now() + row.m_later);
   BOOST_TEST(doubt >= row.m_least);
--- /dev/null
+++ b/unit_tests/worst_load_test.cc
@@ -0,0 +1,132 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "fescueramp/dispatch/admission.h"
+#include "fescueramp/health/work_times.h"
+#include "unit_tests/load_replay.h"
+
+namespace fescueramp {
+namespace {
+
+using std::chrono::milliseconds;
+using std::chrono::seconds;
+
+BOOST_AUTO_TEST_SUITE(worst_load)
+
+BOOST_AUTO_TEST_CASE(HungWorkKeepsMoreWorkAway) {
+  // Recorded: endpoints take work and don't answer it, and got more for a whole time-out.
+  LoadPattern pattern;
+  pattern.m_endpoints = 12;
+  pattern.m_seconds = 12;
+  pattern.m_arrivals_per_s = [](double) { return 80; };
+  pattern.m_mode = [](int endpoint, double time) {
+    return endpoint < 3 && time > 5 ? EndpointMode::kHangs : EndpointMode::kSound;
+  };
+  const LoadResult result = LoadReplay(pattern).Run();
+  BOOST_TEST(result.m_breaches.empty());
+  for (const std::string endpoint : {"e0", "e1", "e2"}) {
+    const int lost = result.m_lost_at.contains(endpoint) ? result.m_lost_at.at(endpoint) : 0;
+    BOOST_TEST_MESSAGE(endpoint << " lost " << lost);
+    // What its slots held when it began, and two trials.
+    BOOST_TEST(lost <= 6);
+  }
+}
+
+/// What goes before a request, the time it has, and what becomes of it.
+struct AdmissionCase {
+  const char* m_name;
+  AdmissionLoad m_load;
+  AdmissionTime m_time;
+  Admission m_expected;
+};
+
+std::ostream& operator<<(std::ostream& out, const AdmissionCase& row) { return out << row.m_name; }
+
+const AdmissionCase kAdmissions[] = {
+    {"nothing waits", {100, 0, 0, 50}, {0.3, 1.2, 2.5}, Admission::kInTime},
+    {"the queue is shorter than the target", {100, 80, 0, 150}, {0.3, 1.2, 2.5}, Admission::kInTime},
+    {"longer, but arrivals leave something over", {100, 100, 0, 20}, {0.3, 1.2, 2.5}, Admission::kLate},
+    {"longer, and arrivals take all", {100, 100, 0, 100}, {0.3, 1.2, 2.5}, Admission::kRefuse},
+    {"too many late ones wait already", {100, 100, 200, 20}, {0.3, 1.2, 2.5}, Admission::kRefuse},
+    {"without a target the deadline counts", {100, 200, 0, 150}, {0.3, 0, 2.5}, Admission::kInTime},
+    {"nothing is known of the capacity", {0, 500, 0, 100}, {0.3, 1.2, 2.5}, Admission::kInTime},
+};
+
+BOOST_DATA_TEST_CASE(AdmissionFollowsWhatIsLeftOver, boost::unit_test::data::make(kAdmissions), row) {
+  BOOST_TEST((Admit(row.m_load, row.m_time) == row.m_expected));
+}
+
+/// A crest above the capacity of the sound endpoints.
+struct Crest {
+  const char* m_name;
+  double m_arrivals_per_s;  ///< From 5 s to 10 s.
+  int m_hanging;            ///< Endpoints of 12 that hang from 5 s on.
+};
+
+std::ostream& operator<<(std::ostream& out, const Crest& row) { return out << row.m_name; }
+
+const Crest kCrests[] = {
+    {"1.8 times the load, a third of the endpoints hang", 144, 4},
+    {"the usual load, half of the endpoints hang", 80, 6},
+    {"three times the load", 240, 0},
+};
+
+BOOST_DATA_TEST_CASE(CrestMakesNobodyLateForNothing, boost::unit_test::data::make(kCrests), row) {
+  LoadPattern pattern;
+  pattern.m_endpoints = 12;
+  pattern.m_seconds = 15;
+  pattern.m_arrivals_per_s = [&](double time) { return time > 5 && time < 10 ? row.m_arrivals_per_s : 80; };
+  pattern.m_mode = [&](int endpoint, double time) {
+    return endpoint < row.m_hanging && time > 5 ? EndpointMode::kHangs : EndpointMode::kSound;
+  };
+  pattern.m_callers_return = false;
+  const LoadResult result = LoadReplay(pattern).Run();
+  BOOST_TEST_MESSAGE(row.m_name << ": asked " << result.m_asked << " in target " << result.m_in_target
+                                << " late " << result.m_late << " lost " << result.m_lost << " refused "
+                                << result.m_refused << " held " << result.m_held);
+  BOOST_TEST(result.m_breaches.empty());
+  BOOST_TEST(result.m_in_target + result.m_late + result.m_lost + result.m_refused == result.m_asked);
+  // Few answers are late, and what can't be served hears so at once.
+  BOOST_TEST(result.m_in_target >= 0.9 * (result.m_in_target + result.m_late));
+  BOOST_TEST(result.m_held <= 0.25 * result.m_refused);
+}
+
+BOOST_AUTO_TEST_CASE(SoundWorkWithAHeavyTailIsNotTakenForAHang) {
+  // Three in a hundred take seven times as long: by that alone an endpoint must keep most of its work.
+  LoadPattern pattern;
+  pattern.m_endpoints = 6;
+  pattern.m_seconds = 40;
+  pattern.m_service_time = milliseconds(200);
+  pattern.m_spread = 0.1;
+  pattern.m_arrivals_per_s = [](double) { return 60; };
+  LoadReplay replay(pattern);
+  const LoadResult result = replay.Run();
+  BOOST_TEST(result.m_breaches.empty());
+  BOOST_TEST(result.m_lost == 0);
+  BOOST_TEST(result.m_refused == 0);
+  BOOST_TEST(result.m_in_target >= 0.96 * result.m_asked);
+  BOOST_TEST(replay.Ejections() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(MissingAnswersTellByWhatIsUsual) {
+  WorkTimes times;
+  for (int i = 0; i < 200; ++i) times.AddAnswer("work", milliseconds(i % 30 == 0 ? 700 : 100));
+  for (int i = 0; i < 20; ++i) times.AddFailure(true);
+  BOOST_TEST(times.UsualTime("work") < 0.2);
+  BOOST_TEST(times.HangOdds("work", milliseconds(100), 1, 0.8) == 1);
+  const double young = times.HangOdds("work", milliseconds(250), 1, 0.8);
+  const double old = times.HangOdds("work", milliseconds(1500), 1, 0.8);
+  BOOST_TEST(young > 4);
+  BOOST_TEST(old >= young);
+  BOOST_TEST(times.HangOdds("work", milliseconds(250), 3, 0.8) < young);  // At an endpoint that is slow.
+  BOOST_TEST(times.HangOdds("unknown", seconds(5), 1, 0.8) == 1);
+  // Where failures break off at once, missing answers tell little.
+  for (int i = 0; i < 200; ++i) times.AddFailure(false);
+  BOOST_TEST(times.HangOdds("work", milliseconds(1500), 1, 0.8) < 1.5);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace fescueramp
