Bound what endpoints may send, keep running work through a silence, and see time pass while suspended

Cause, found by reading for what went wrong at similar systems, each shown by a test: - Bytes without end: a body that keeps coming was read beyond its deadline, the body of an error answer was kept without a bound, and chunk extensions, trailers and the body of another request's answer were read for ever. An interim answer was taken for the answer. - A second copy of an answer: a request that an endpoint refused could go back to the same connection, where a late copy of the refusal, which bears its id, would say that its second attempt had not run. An answer without an id was taken as well. - A node only silent: after 0.9 s its link was closed, and permitted work that can't be repeated was given up though the node ran it and came back. - Time that ran out while a host was suspended: the steady clock stands still then, so a deadline or an idle connection seemed to have time left. The boot clock does not.

Change: AnswerReader bounds time, bytes and foreign answers; the buffer of a connection is bounded; EndpointPool doesn't give a connection to a request that it carried before; a silent link breaks what has not begun and keeps what has been permitted until its owner's limit; SteadyWallClock and idle times follow the boot clock. A refusal whose body breaks off is a refusal all the same, as its header says so.

Result: with the bounds taken out, 5 of 11 rows of BytesWithoutEndEnd never end and one of OnlyItsOwnAnswerIsTaken fails; without keeping streams WorkThatRunsAtASilentNodeIsNotGivenUp fails. All pass now. The boot clock has no test of its own: a test can't suspend its host.

--- a/fescueramp/core/clock.h
+++ b/fescueramp/core/clock.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include <ctime>
+
 #include "fescueramp/core/time.h"
 
 namespace fescueramp {
@@ -13,21 +15,37 @@
   virtual Instant Now() const = 0;
 };
 
-/// Clock anchored to wall-clock time at construction and advanced by the steady clock.
+/// Steady clock of the operating system that goes on while the host is suspended. What has run out meanwhile
+/// must be seen to have run out: the time for a piece of work, a kept connection.
+struct BootClock {
+  using duration = std::chrono::nanoseconds;
+  using rep = duration::rep;
+  using period = duration::period;
+  using time_point = std::chrono::time_point<BootClock>;
+  static constexpr bool is_steady = true;  // NOLINT(readability-identifier-naming): of the standard library.
+
+  static time_point now() noexcept {  // NOLINT(readability-identifier-naming): of the standard library.
+    timespec time{};
+    ::clock_gettime(CLOCK_BOOTTIME, &time);
+    return time_point(std::chrono::seconds(time.tv_sec) + std::chrono::nanoseconds(time.tv_nsec));
+  }
+};
+
+/// Clock anchored to wall-clock time at construction and advanced by the boot clock.
 class SteadyWallClock final : public Clock {
  public:
   SteadyWallClock()
       : m_wall_start(std::chrono::time_point_cast<Duration>(std::chrono::system_clock::now())),
-        m_steady_start(std::chrono::steady_clock::now()) {}
+        m_boot_start(BootClock::now()) {}
 
   Instant Now() const override {
-    const auto elapsed = std::chrono::steady_clock::now() - m_steady_start;
+    const auto elapsed = BootClock::now() - m_boot_start;
     return m_wall_start + std::chrono::duration_cast<Duration>(elapsed);
   }
 
  private:
   Instant m_wall_start;
-  std::chrono::steady_clock::time_point m_steady_start;
+  BootClock::time_point m_boot_start;
 };
 
 /// Clock moved by hand, for tests and replays.
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -11,7 +11,6 @@
 
 constexpr std::size_t kMaxHeldAnswer = 256 * 1024;         ///< Bytes of an answer held until it is whole.
 constexpr std::chrono::milliseconds kConnectTimeout{250};  ///< Several round trips between regions.
-constexpr int kMaxForeignAnswers = 3;  ///< Answers of other requests skipped before a connection is given up.
 constexpr auto kCancelSettle =
     std::chrono::milliseconds(20);  ///< Time for an endpoint to see a closed connection.
 
@@ -192,10 +191,15 @@
     // The entry host counts the attempts, and permits the first one where that is needed.
     call->m_stream->SendInterim();
     call->m_permit_asked = true;
-    if (call->m_permit_needed) co_await WaitForPermit(call);
+    if (call->m_permit_needed) {
+      co_await WaitForPermit(call);
+      call->m_stream->KeepThroughSilence();
+    }
     if (attempt->m_cancelled) throw HttpError("given up before it was sent", false);
+    const std::string& id = call->m_request.m_caller_id;
     attempt->m_connection =
-        m_context.m_endpoints->Take(effect.m_address, port, effect.m_fresh_connection, effect.m_most_idle);
+        m_context.m_endpoints->Take(effect.m_address, port, id.empty() ? call->m_request.m_request_id : id,
+                                    effect.m_fresh_connection, effect.m_most_idle);
     result.m_idle = std::chrono::duration_cast<Duration>(attempt->m_connection->m_was_idle);
     co_await attempt->m_connection->m_connection.Connect(std::min(kConnectTimeout, TimeLeft(effect)));
     // The last look at the clock before anything is sent: a node that was paused must not send late.
@@ -291,29 +295,14 @@
   co_await connection.FinishBody(TimeLeft(effect));
 }
 
-asio::awaitable<AnswerReading> DispatchHandler::ReadOwnHead(std::shared_ptr<Attempt> attempt,
-                                                            const StartAttempt& effect) {
-  HttpConnection& connection = attempt->m_connection->m_connection;
-  AnswerReading reading;
-  for (int skipped = 0; skipped <= kMaxForeignAnswers; ++skipped) {
-    attempt->m_answer = co_await connection.ReadHead(TimeLeft(effect));
-    reading = m_context.m_dialect->ReadAnswer(attempt->m_terms, attempt->m_answer);
-    if (reading.m_kind != AnswerKind::kForeign) co_return reading;
-    // A late answer to an earlier request on this connection; ours may follow.
-    m_context.m_metrics->AddAttempt("foreign_answer");
-    while (true) {
-      const std::string part = co_await connection.ReadBody(TimeLeft(effect));
-      if (part.empty()) break;
-    }
-  }
-  connection.Close();
-  throw HttpError("answers of other requests only", true);
-}
-
 asio::awaitable<void> DispatchHandler::ReadAnswer(std::shared_ptr<Call> call,
                                                   std::shared_ptr<Attempt> attempt,
                                                   const StartAttempt& effect, AttemptResult& result) {
-  const AnswerReading reading = co_await ReadOwnHead(attempt, effect);
+  HttpConnection& connection = attempt->m_connection->m_connection;
+  const AnswerReader::Time time{effect.m_deadline, effect.m_progress_timeout};
+  AnswerReader reader(connection, *m_context.m_dialect, *m_context.m_clock, attempt->m_terms, time);
+  const AnswerReading reading = co_await reader.ReadHead(attempt->m_answer);
+  if (reader.Foreign() > 0) m_context.m_metrics->AddAttempt("foreign_answer");
   result.m_status = attempt->m_answer.m_status;
   result.m_draining = reading.m_leaving;
   attempt->m_idle_ms = reading.m_idle_ms;
@@ -331,30 +320,48 @@
     case AnswerKind::kForeign:
       break;
     case AnswerKind::kInvalid:
-      attempt->m_connection->m_connection.Close();
+      connection.Close();
       throw HttpError("the answer is not the endpoint's", true);
   }
-  co_await ReadAnswerBody(call, attempt, effect, result);
+  const bool ran =
+      result.m_outcome == AttemptOutcome::kAnswered || result.m_outcome == AttemptOutcome::kServerError;
+  if (ran)
+    co_await ReadAnswerBody(call, attempt, effect.m_attempt, reader);
+  else
+    co_await ReadRefusalBody(attempt, reader);
+}
+
+asio::awaitable<void> DispatchHandler::ReadRefusalBody(std::shared_ptr<Attempt> attempt,
+                                                       AnswerReader& reader) {
+  // Nobody gets it; it is read so that the connection can be used again, if that doesn't take long.
+  std::size_t size = 0;
+  try {
+    for (std::string part = co_await reader.ReadBody(); !part.empty(); part = co_await reader.ReadBody()) {
+      size += part.size();
+      if (size <= kMaxHeldAnswer) continue;
+      attempt->m_connection->m_connection.Close();
+      co_return;
+    }
+    attempt->m_answer_whole = true;
+  } catch (const HttpError&) {
+    // The refusal itself was whole; the connection is closed.
+  }
 }
 
 asio::awaitable<void> DispatchHandler::ReadAnswerBody(std::shared_ptr<Call> call,
-                                                      std::shared_ptr<Attempt> attempt,
-                                                      const StartAttempt& effect, AttemptResult& result) {
-  HttpConnection& connection = attempt->m_connection->m_connection;
-  const bool useful = result.m_outcome == AttemptOutcome::kAnswered;
+                                                      std::shared_ptr<Attempt> attempt, std::int64_t number,
+                                                      AnswerReader& reader) {
   std::string body;
-  while (true) {
-    std::string part = co_await connection.ReadBody(TimeLeft(effect));
-    if (part.empty()) break;
-    if (call->m_streamed_attempt == effect.m_attempt) {
+  for (std::string part = co_await reader.ReadBody(); !part.empty(); part = co_await reader.ReadBody()) {
+    if (call->m_streamed_attempt == number) {
       co_await call->m_stream->Write(std::move(part));
       continue;
     }
     body += part;
-    if (body.size() <= kMaxHeldAnswer || !useful) continue;
+    if (body.size() <= kMaxHeldAnswer) continue;
     if (call->m_streamed_attempt > 0) throw HttpError("another attempt's answer is on its way", true);
     // Too long to hold until it is whole: from here on it can't be retried.
-    call->m_streamed_attempt = effect.m_attempt;
+    call->m_streamed_attempt = number;
     SendAnswerHead(*call, attempt->m_answer);
     co_await call->m_stream->Write(std::exchange(body, {}));
   }
--- a/fescueramp/daemon/dispatch_handler.h
+++ b/fescueramp/daemon/dispatch_handler.h
@@ -7,6 +7,7 @@
 #include <variant>
 
 #include "fescueramp/daemon/handler_context.h"
+#include "fescueramp/net/answer_reader.h"
 #include "fescueramp/net/replay_body.h"
 #include "fescueramp/node/effects.h"
 
@@ -75,9 +76,9 @@
                                     const StartAttempt& effect);
   asio::awaitable<void> ReadAnswer(std::shared_ptr<Call> call, std::shared_ptr<Attempt> attempt,
                                    const StartAttempt& effect, AttemptResult& result);
-  asio::awaitable<AnswerReading> ReadOwnHead(std::shared_ptr<Attempt> attempt, const StartAttempt& effect);
   asio::awaitable<void> ReadAnswerBody(std::shared_ptr<Call> call, std::shared_ptr<Attempt> attempt,
-                                       const StartAttempt& effect, AttemptResult& result);
+                                       std::int64_t number, AnswerReader& reader);
+  static asio::awaitable<void> ReadRefusalBody(std::shared_ptr<Attempt> attempt, AnswerReader& reader);
   static AttemptOutcome FailureOutcome(const Attempt& attempt);
   void EndAttempt(const std::shared_ptr<Call>& call, const std::shared_ptr<Attempt>& attempt,
                   const StartAttempt& effect, const AttemptResult& result);
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -160,6 +160,7 @@
     if (withhold_permit) co_await stream->WaitInterim(1);
     // From here on the work may start; nothing else may start it.
     call->m_permitted = true;
+    if (withhold_permit) stream->KeepThroughSilence();
     while (true) {
       std::string part = co_await call->m_body->Read(cursor);
       if (part.empty()) break;
--- a/fescueramp/net/http_client.cc
+++ b/fescueramp/net/http_client.cc
@@ -18,6 +18,8 @@
 
 constexpr std::size_t kBodyChunk = 64 * 1024;
 constexpr std::uint32_t kMaxHeaderBytes = 64 * 1024;
+/// Bytes kept of what is not understood yet: a header, or one line or trailer of a chunked body.
+constexpr std::size_t kMaxUnread = 2 * kMaxHeaderBytes;
 
 constexpr int kProbeSeconds = 1;  ///< Silence before the peer's host is asked, and between questions.
 constexpr int kProbes = 3;        ///< Questions without an answer that end a connection.
@@ -47,7 +49,7 @@
   beast::tcp_stream m_stream;
   std::string m_address;
   std::uint16_t m_port;
-  beast::flat_buffer m_buffer;
+  beast::flat_buffer m_buffer{kMaxUnread};
   bool m_connected = false;
   bool m_sent = false;
   bool m_timed_out = false;
@@ -229,6 +231,8 @@
 
 bool HttpConnection::Unacknowledged() const { return m_state->m_unacknowledged; }
 
+void HttpConnection::Expire(const std::string& problem) { m_state->Fail(problem, beast::error::timeout); }
+
 void HttpConnection::Close() {
   m_state->m_connected = false;
   m_state->m_stream.close();
--- a/fescueramp/net/http_client.h
+++ b/fescueramp/net/http_client.h
@@ -69,6 +69,9 @@
   /// Whether the last error was that the server's host did not acknowledge what was sent.
   bool Unacknowledged() const;
 
+  /// Closes the connection as after a timeout. @throws HttpError always.
+  [[noreturn]] void Expire(const std::string& problem);
+
   /// Closes the connection; operations that wait end with an error.
   void Close();
 
--- a/fescueramp/net/link.cc
+++ b/fescueramp/net/link.cc
@@ -20,6 +20,8 @@
 constexpr auto kWatchPeriod = std::chrono::milliseconds(200);   ///< Time between looks at a busy link.
 constexpr auto kPingAfter = std::chrono::milliseconds(300);     ///< Silence after which the peer is pinged.
 constexpr auto kSilenceLimit = std::chrono::milliseconds(900);  ///< Silence after which the link is given up.
+/// Silence after which nothing is kept either: longer than pauses that hosts come back from.
+constexpr auto kLongestKept = std::chrono::seconds(15);
 
 nghttp2_nv MakeField(const std::string& name, const std::string& value) {
   // Our own fields differ in every request, so the table of known fields gains nothing from them.
@@ -219,8 +221,10 @@
       m_last_heard = now;
       continue;
     }
-    m_silent = now - m_last_heard > kSilenceLimit;
-    if (m_silent) break;
+    if (m_suspended && (!Keeps() || now - m_last_heard > kLongestKept)) break;
+    m_silent = m_silent || now - m_last_heard > kSilenceLimit;
+    if (m_silent && !Keeps()) break;
+    if (m_silent && !m_suspended) Suspend();
     if (now - m_last_heard > kPingAfter) {
       nghttp2_submit_ping(m_session, NGHTTP2_FLAG_NONE, nullptr);
       Flush();
@@ -229,6 +233,24 @@
   Close();
 }
 
+bool Link::Keeps() const {
+  return std::any_of(m_streams.begin(), m_streams.end(),
+                     [](const auto& item) { return item.second->m_kept && !item.second->m_broken; });
+}
+
+void Link::Suspend() {
+  m_suspended = true;
+  const auto streams = m_streams;
+  for (const auto& [id, stream] : streams) {
+    if (stream->m_kept) continue;
+    stream->m_silent = true;
+    // A peer that wakes must not begin what has gone elsewhere.
+    nghttp2_submit_rst_stream(m_session, NGHTTP2_FLAG_NONE, id, NGHTTP2_CANCEL);
+    stream->Break();
+  }
+  Flush();
+}
+
 void Link::Close() {
   if (std::exchange(m_closed, true)) return;
   boost::system::error_code ec;
@@ -249,7 +271,7 @@
 
 std::shared_ptr<LinkStream> Link::Open(const std::string& path, const std::vector<HeaderField>& headers,
                                        bool with_body) {
-  if (m_closed) throw LinkError("link is closed");
+  if (Closed()) throw LinkError("link is closed");
   std::vector<HeaderField> all = {
       {":method", "POST"}, {":scheme", "http"}, {":authority", "fescueramp"}, {":path", path}};
   all.insert(all.end(), headers.begin(), headers.end());
--- a/fescueramp/net/link.h
+++ b/fescueramp/net/link.h
@@ -66,6 +66,10 @@
   /// Whether the peer or the link has given the stream up.
   bool Broken() const { return m_broken; }
 
+  /// Keeps the stream open while the peer is silent: its work runs, must not start elsewhere, and is answered
+  /// if the peer was only paused. Whoever waits sets the limit.
+  void KeepThroughSilence() { m_kept = true; }
+
   /// Whether it ended because the peer went silent, so that what the peer told last may not have come.
   bool EndedInSilence() const { return m_silent; }
 
@@ -90,6 +94,7 @@
   bool m_deferred = false;
   bool m_broken = false;
   bool m_silent = false;
+  bool m_kept = false;  ///< Whether it outlasts a silence of the peer.
   bool m_closed = false;
   Signal m_readable;
   Signal m_writable;
@@ -118,11 +123,17 @@
   /// Ends the connection and breaks its streams.
   void Close();
 
-  bool Closed() const { return m_closed; }
+  /// Whether it takes no new streams.
+  bool Closed() const { return m_closed || m_suspended; }
 
  private:
   friend class LinkStream;
 
+  /// Gives up what the silent peer has not begun, and keeps the rest. Streams that are kept end with their
+  /// owner's limit or the connection.
+  void Suspend();
+  bool Keeps() const;
+
   asio::awaitable<void> ReadLoop();
   asio::awaitable<void> WriteLoop();
   asio::awaitable<void> WatchLoop();
@@ -149,7 +160,8 @@
   Signal m_wants_write;
   Signal m_wants_watch;
   bool m_closed = false;
-  bool m_silent = false;  ///< Whether the peer was given up because it went silent.
+  bool m_silent = false;     ///< Whether the peer was given up because it went silent.
+  bool m_suspended = false;  ///< Whether only streams that are kept are left.
   std::chrono::steady_clock::time_point m_last_heard;
 };
 
--- a/fescueramp/net/own_dialect.cc
+++ b/fescueramp/net/own_dialect.cc
@@ -18,8 +18,13 @@
   head.m_headers.push_back({"Fescue-Deadline-Ms", std::to_string(terms.m_left_ms)});
 }
 
-AnswerReading OwnDialect::ReadAnswer(const SendTerms&, const AnswerHead& head) const {
+AnswerReading OwnDialect::ReadAnswer(const SendTerms& terms, const AnswerHead& head) const {
   AnswerReading reading;
+  const std::string_view id = FindHeader(head.m_headers, "fescue-request-id");
+  if (!id.empty() && id != terms.m_request_id) {
+    reading.m_kind = AnswerKind::kForeign;
+    return reading;
+  }
   reading.m_leaving = !FindHeader(head.m_headers, "endpoint-draining").empty();
   const bool shed =
       head.m_status == kServiceUnavailable && !FindHeader(head.m_headers, "endpoint-shed").empty();
