Let entry hosts tell dispatchers what became of requests, and age what hung work tells

Traced: a route is split among services; bookdesk refused half of its work, and 85 of 531 requests on routes to paperyard were not served, while paperyard's dispatchers saw 5% of theirs fail and tried no endpoint in doubt. Three of those had hung uploads, which run up to the caller's 8 s; their odds counted in full for all that time, so endpoints that had recovered got nothing for ten seconds.

Change: an entry host counts how requests end, for each service that the route might have sent them to, and tells the dispatcher with its next request. A dispatcher judges by the worse of its own share and this one. What work without an answer tells is as old as the work. While most requests are served, endpoints in some doubt get no work just for the spread. Queues are trimmed from their end when capacity is lost, and a tenth of the target is left for work that varies.

--- a/fescueramp/core/moving_average.h
+++ b/fescueramp/core/moving_average.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <cmath>
+#include <cstdint>
 
 #include "fescueramp/core/time.h"
 
@@ -31,9 +32,9 @@
  public:
   explicit RateEstimate(Duration time_constant) : m_time_constant(ToSeconds(time_constant)) {}
 
-  void Add(Instant now) {
+  void Add(Instant now, std::int64_t events = 1) {
     Decay(now);
-    m_rate += 1 / m_time_constant;
+    m_rate += static_cast<double>(events) / m_time_constant;
   }
 
   /// Events a second.
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -31,6 +31,8 @@
   return clean;
 }
 
+constexpr std::int64_t kServerErrors = 500;
+
 std::string KeyHash(const RequestHead& head) {
   std::string_view key = FindHeader(head.m_headers, kApiKeyField);
   return key.empty() ? std::string() : Sha256Hex(key);
@@ -52,6 +54,8 @@
   return id.str();
 }
 
+bool EntryHandler::Served(const Call& call) { return call.m_result == "OK" && call.m_status < kServerErrors; }
+
 template <typename T>
 void EntryHandler::Enqueue(const T& effect) {
   const auto call = m_calls.find(effect.m_request_id);
@@ -142,7 +146,8 @@
     if (outcome != ForwardOutcome::kAnswered) LogForward(*call, forward, outcome);
     m_context.m_sink->Post(ForwardEnded{call->m_id, forward.m_node, told, call->m_body->Replayable(),
                                         call->m_permitted, call->m_attempts, std::exchange(call->m_split, {}),
-                                        std::exchange(call->m_part_full, false), call->m_silent});
+                                        std::exchange(call->m_part_full, false), Served(*call),
+                                        call->m_silent});
     if (too_long) {
       AnswerHead result;
       result.m_code = static_cast<std::int64_t>(ResultCode::kBodyTooLarge);
--- a/fescueramp/daemon/entry_handler.h
+++ b/fescueramp/daemon/entry_handler.h
@@ -79,6 +79,8 @@
   /// Gives the current forward up when the time is over.
   static void StartTimer(const std::shared_ptr<Call>& call, Duration left);
   asio::awaitable<void> SendResult(std::shared_ptr<Call> call, AnswerHead head);
+  /// Whether the caller got what it asked for.
+  static bool Served(const Call& call);
   void LogRequest(const Call& call);
   void LogForward(const Call& call, const ForwardRequest& forward, ForwardOutcome outcome);
   std::vector<HeaderField> AnswerHeaders(const Call& call, const AnswerHead& head);
--- a/fescueramp/dispatch/admission.cc
+++ b/fescueramp/dispatch/admission.cc
@@ -3,6 +3,11 @@
 #include <limits>
 
 namespace fescueramp {
+namespace {
+
+constexpr double kTargetShare = 0.9;  ///< Share of the target that is planned; work varies in length.
+
+}  // namespace
 
 double WaitOfLate(const AdmissionLoad& load) {
   const double spare = load.m_capacity_per_s - load.m_arrivals_per_s;
@@ -13,7 +18,7 @@
 Admission Admit(const AdmissionLoad& load, const AdmissionTime& time) {
   if (load.m_capacity_per_s <= 0) return Admission::kInTime;
   const double wait = load.m_waiting / load.m_capacity_per_s;
-  const double limit = time.m_target > 0 ? time.m_target : time.m_deadline;
+  const double limit = time.m_target > 0 ? time.m_target * kTargetShare : time.m_deadline;
   if (wait + time.m_work <= limit) return Admission::kInTime;
   return WaitOfLate(load) + time.m_work <= time.m_deadline ? Admission::kLate : Admission::kRefuse;
 }
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -34,12 +34,15 @@
   bool m_may_move = false;  ///< Whether another part may serve it when this one is full.
   std::int64_t m_split_version = 0;  ///< Of the view of the service's split by which the part was chosen.
   std::uint64_t m_split_digest = 0;  ///< Of the same view.
+  /// Requests that might have gone to this service and ended at the entry host since its last forward there.
+  std::int64_t m_served_since = 0;
+  std::int64_t m_unserved_since = 0;
 };
 BOOST_DESCRIBE_STRUCT(DispatchRequest, (),
                       (m_request_id, m_entry_node, m_service, m_route, m_class_name, m_account, m_repeatable,
                        m_claim_key, m_fingerprint, m_deadline, m_caller_id, m_target_latency_ms,
                        m_max_attempts, m_forwards, m_revision, m_part_zone, m_may_move, m_split_version,
-                       m_split_digest))
+                       m_split_digest, m_served_since, m_unserved_since))
 
 /// Dispatchers that may give a request back for paths in trouble; the next one keeps it, as the endpoints
 /// themselves are then likely to be down.
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -173,13 +173,15 @@
 
 void EndpointTable::UpdateOdds(Slots& state, Instant now) {
   double odds = 1;
+  Instant since{};
   state.m_hung = 0;
   for (const auto& [ticket, running] : state.m_running) {
     const double own = OddsOf(state, running, now);
     state.m_hung += own >= kHungOdds ? 1 : 0;
     odds *= own;
+    if (own > 1) since = std::max(since, running.m_started);
   }
-  state.m_placement.SetRunningOdds(std::min(odds, kMostOdds));
+  state.m_placement.SetRunningOdds(std::min(odds, kMostOdds), since);
 }
 
 void EndpointTable::NoteUnanswered(const std::string& endpoint, std::int64_t ticket, Instant now) {
@@ -188,7 +190,7 @@
   Slots& state = found->second;
   const auto running = state.m_running.find(ticket);
   if (running == state.m_running.end()) return;
-  state.m_placement.ObserveHung(OddsOf(state, running->second, now), now);
+  state.m_placement.ObserveHung(OddsOf(state, running->second, now), running->second.m_started, now);
   running->second.m_told = true;
   UpdateOdds(state, now);
 }
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -269,6 +269,8 @@
     pending.m_weight = account->second.m_weight;
   }
   state.m_demand.AddArrival(now);
+  m_told_served.Add(now, request.m_served_since);
+  m_told_unserved.Add(now, request.m_unserved_since);
   m_retry_budget.AddRequest(now);
   if (request.m_repeatable) m_last_repeatable = now;
   UpdateBounds(now);
@@ -337,8 +339,7 @@
   need.m_placement.m_repeatable = request.m_repeatable;
   // Where nothing can be repeated, somebody has to go first.
   need.m_canary = request.m_repeatable || now - m_last_repeatable > kTrialByRepeatable;
-  const double unserved = m_unserved.PerSecond(now);
-  need.m_placement.m_try_all = unserved > kSpreadShare * (unserved + m_served.PerSecond(now));
+  need.m_placement.m_try_all = UnservedShare(now) > kSpreadShare;
   need.m_usual_time = UsualTime(request);
   need.m_by_belief = m_settings.m_by_belief;
   if (need.m_by_belief) need.m_most_doubt = MostDoubt(pending, ExpectedTime(request), now);
@@ -372,6 +373,14 @@
   return kDoubtWithoutBacklog + (kDoubtAtBacklog - kDoubtWithoutBacklog) * backlog / limit;
 }
 
+double FairDispatcher::UnservedShare(Instant now) const {
+  const auto share = [&](const RateEstimate& served, const RateEstimate& unserved) {
+    const double failed = unserved.PerSecond(now);
+    return failed > 0 ? failed / (failed + served.PerSecond(now)) : 0;
+  };
+  return std::max(share(m_served, m_unserved), share(m_told_served, m_told_unserved));
+}
+
 void FairDispatcher::NoteOutcome(bool served, Instant now) { (served ? m_served : m_unserved).Add(now); }
 
 double FairDispatcher::ExpectedTime(const DispatchRequest& request) const {
@@ -489,19 +498,33 @@
 
 void FairDispatcher::ExpireQueued(Instant now, DispatchEffects& out) {
   while (!m_looks.empty() && m_looks.begin()->first <= now) {
-    Pending& pending = m_pending.at(m_looks.begin()->second);
-    DropQueued(pending);
-    const bool over = now >= QueuedUntil(pending.m_request, UsualTime(pending.m_request));
-    const ClassState& state = ClassOf(pending.m_request.m_class_name);
-    if (over || Admit(LoadOf(state, now), TimeOf(pending, now)) == Admission::kRefuse) {
-      FinishFailed(pending, now, out);
-      continue;
+    Demote(m_pending.at(m_looks.begin()->second), now, out);
+  }
+}
+
+void FairDispatcher::TrimQueues(Instant now, DispatchEffects& out) {
+  for (auto& [name, state] : m_classes) {
+    while (!state.m_queue.Empty()) {
+      Pending& last = m_pending.at(state.m_queue.InOrder().rbegin()->m_request_id);
+      AdmissionLoad load = LoadOf(state, now);
+      --load.m_waiting;  // Itself.
+      if (Admit(load, TimeOf(last, now)) == Admission::kInTime) break;
+      Demote(last, now, out);
     }
-    pending.m_late = true;
-    Queue(pending, now);
   }
 }
 
+void FairDispatcher::Demote(Pending& pending, Instant now, DispatchEffects& out) {
+  DropQueued(pending);
+  const bool over = now >= QueuedUntil(pending.m_request, UsualTime(pending.m_request));
+  const ClassState& state = ClassOf(pending.m_request.m_class_name);
+  if (over || Admit(LoadOf(state, now), TimeOf(pending, now)) == Admission::kRefuse) {
+    return FinishFailed(pending, now, out);
+  }
+  pending.m_late = true;
+  Queue(pending, now);
+}
+
 void FairDispatcher::FinishQuarantined(std::uint64_t fingerprint, Instant now, DispatchEffects& out) {
   std::vector<std::string> queued;
   for (const auto& [id, pending] : m_pending) {
@@ -520,6 +543,7 @@
   m_endpoints.Refresh(now);
   WatchAttempts(now, out);
   Pump(now, out);
+  TrimQueues(now, out);
 }
 
 void FairDispatcher::NotePause(Instant now) {
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -131,6 +131,12 @@
   bool WouldBeLate(const Pending& pending, const ClassState& state, Instant now) const;
   bool RefuseEarly(const Pending& pending, const ClassState& state, Instant now, DispatchEffects& out);
   void ExpireQueued(Instant now, DispatchEffects& out);
+
+  /// Looks again at what waits last, after capacity was lost.
+  void TrimQueues(Instant now, DispatchEffects& out);
+
+  /// Puts a request that can't be answered in time any more behind those that can, or ends it.
+  void Demote(Pending& pending, Instant now, DispatchEffects& out);
   void FinishQuarantined(std::uint64_t fingerprint, Instant now, DispatchEffects& out);
   void Pump(Instant now, DispatchEffects& out);
   std::optional<Choice> ChooseNext(Instant now);
@@ -146,6 +152,10 @@
   double MostDoubt(const Pending& pending, double usual_time, Instant now) const;
   double DoubtByBacklog(const DispatchRequest& request, double usual_time) const;
   void NoteOutcome(bool served, Instant now);
+
+  /// Share of requests that are not served: of those here, or of those that entry hosts tell of, which also
+  /// end elsewhere.
+  double UnservedShare(Instant now) const;
   std::vector<LiveEndpoint> PoolEndpoints(const ObjectSet& set) const;
   void ConfigureRetries();
   void ApplyEndpoints(const std::vector<LiveEndpoint>& endpoints, Instant now);
@@ -202,6 +212,9 @@
   Instant m_backlogged{};                   ///< Since when requests have waited; none when none does.
   RateEstimate m_served{kOutcomeMemory};    ///< Requests that ended well.
   RateEstimate m_unserved{kOutcomeMemory};  ///< Requests that did not.
+  RateEstimate m_told_served{
+      kOutcomeMemory};  ///< The same of all that might have come here, as entry hosts tell.
+  RateEstimate m_told_unserved{kOutcomeMemory};
   SuspectList m_suspects;
   Instant m_last_pause{};
   std::int64_t m_next_arrival = 0;
--- a/fescueramp/dispatch/placement.cc
+++ b/fescueramp/dispatch/placement.cc
@@ -20,8 +20,11 @@
 constexpr double kRefusalCost = 0.2;    ///< Cost of a refusal: a retry of the fleet's budget, and a delay.
 constexpr double kSpreadBonus = 2.0;    ///< Outweighs every other cost.
 constexpr double kUnsoundDoubt = 0.5;   ///< Doubt from which an endpoint is not taken for sound.
-constexpr double kUnusedCost = 0.2;     ///< Gain of an endpoint that is due, a second without work.
-constexpr double kMostUnused = 5;       ///< Seconds without work beyond which the gain grows no more.
+/// Doubt from which an endpoint gets no work just for the spread while most requests are served: more than
+/// that of one of which nothing is known.
+constexpr double kCalmDoubt = 0.35;
+constexpr double kUnusedCost = 0.2;  ///< Gain of an endpoint that is due, a second without work.
+constexpr double kMostUnused = 5;    ///< Seconds without work beyond which the gain grows no more.
 /// Longest time without work of a sound endpoint: the operators' floor counts over any 2 s.
 constexpr Duration kSoundPeriod = std::chrono::milliseconds(1500);
 /// The same of one in serious doubt: an endpoint that recovered counts for the floor 2 s later, and must have
@@ -61,7 +64,7 @@
   if (load.m_busy >= load.m_slots) return false;
   if (need.m_try_all) return now - m_last_used > (Sound(now) ? kSoundPeriod : kDoubtPeriod);
   const bool cold = Cold(now) && !need.m_repeatable;
-  return Sound(now) && !cold && now - m_last_used > kSoundPeriod;
+  return m_filter.Probability(now) < kCalmDoubt && !cold && now - m_last_used > kSoundPeriod;
 }
 
 double PlacementState::Cost(const Need& need, const Load& load, Instant now) const {
--- a/fescueramp/dispatch/placement.h
+++ b/fescueramp/dispatch/placement.h
@@ -34,10 +34,10 @@
   void Observe(Evidence evidence, double relative_time, Instant started, Instant now);
 
   /// Notes work that ended without an answer, by how much likelier that is in a gray failure.
-  void ObserveHung(double odds, Instant now) { m_filter.ObserveOdds(odds, now); }
+  void ObserveHung(double odds, Instant started, Instant now) { m_filter.ObserveHung(odds, started, now); }
 
   /// Sets the odds of a gray failure by the work that runs there now.
-  void SetRunningOdds(double odds) { m_filter.SetRunningOdds(odds); }
+  void SetRunningOdds(double odds, Instant since) { m_filter.SetRunningOdds(odds, since); }
 
   /// Time that work takes here, in multiples of the usual time; at least 1.
   double Slowness(Instant now) const;
--- a/fescueramp/health/gray_filter.cc
+++ b/fescueramp/health/gray_filter.cc
@@ -38,15 +38,23 @@
       m_decay_per_s(1 / ToSeconds(settings.m_gray_time) + 1 / ToSeconds(settings.m_sound_time)),
       m_probability(m_prior) {}
 
-double GrayFilter::Probability(Instant now) const {
-  const double settled = Settled(now);
-  const double gray = settled * m_running_odds;
-  return gray / (gray + 1 - settled);
+double GrayFilter::After(double probability, double odds) {
+  const double gray = probability * odds;
+  return gray / (gray + 1 - probability);
 }
 
-double GrayFilter::Settled(Instant now) const {
-  const double seconds = std::max(0.0, ToSeconds(now - m_updated));
-  return m_prior + (m_probability - m_prior) * std::exp(-m_decay_per_s * seconds);
+double GrayFilter::Aged(double probability, Duration age) const {
+  const double seconds = std::max(0.0, ToSeconds(age));
+  return m_prior + (probability - m_prior) * std::exp(-m_decay_per_s * seconds);
+}
+
+double GrayFilter::Settled(Instant now) const { return Aged(m_probability, now - m_updated); }
+
+double GrayFilter::Probability(Instant now) const {
+  const double settled = Settled(now);
+  if (m_running_odds <= 1) return settled;
+  // Work without an answer tells of the time at which it was begun; the failure may be over since.
+  return std::max(settled, Aged(After(settled, m_running_odds), now - m_running_since));
 }
 
 double GrayFilter::FailureProbability(Instant now) const {
@@ -55,24 +63,23 @@
   return gray * m_settings.m_gray_failures + (1 - gray) * sound_share;
 }
 
-void GrayFilter::Observe(Evidence evidence, Instant started, Instant now) {
-  const Likelihood likelihood = LikelihoodOf(evidence, m_settings);
-  ObserveOdds(likelihood.m_gray / likelihood.m_sound, now);
-  if (evidence != Evidence::kGood) return;
-  m_updated = std::min(started, now);
-  m_probability = Settled(now);
-  m_updated = now;
-}
-
 double GrayFilter::GoodOdds() const {
   const Likelihood good = LikelihoodOf(Evidence::kGood, m_settings);
   return good.m_gray / good.m_sound;
 }
 
-void GrayFilter::ObserveOdds(double odds, Instant now) {
+void GrayFilter::Observe(Evidence evidence, Instant started, Instant now) {
+  const Likelihood likelihood = LikelihoodOf(evidence, m_settings);
+  const double after = After(Settled(now), likelihood.m_gray / likelihood.m_sound);
+  m_probability = std::clamp(after, kLeastDoubt, kSurest);
+  if (evidence == Evidence::kGood) m_probability = Aged(m_probability, now - std::min(started, now));
+  m_updated = now;
+}
+
+void GrayFilter::ObserveHung(double odds, Instant started, Instant now) {
   const double before = Settled(now);
-  const double gray = before * odds;
-  m_probability = std::clamp(gray / (gray + 1 - before), kLeastDoubt, kSurest);
+  m_probability =
+      std::clamp(std::max(before, Aged(After(before, odds), now - started)), kLeastDoubt, kSurest);
   m_updated = now;
 }
 
--- a/fescueramp/health/gray_filter.h
+++ b/fescueramp/health/gray_filter.h
@@ -38,11 +38,16 @@
   /// @param started Start of the work: what a good answer tells is as old as that.
   void Observe(Evidence evidence, Instant started, Instant now);
 
-  /// Takes evidence in by how much likelier it is at an endpoint in a gray failure.
-  void ObserveOdds(double odds, Instant now);
+  /// Takes in work that ended without an answer, by how much likelier that is in a gray failure.
+  /// @param started Start of the work: what it tells is as old as that.
+  void ObserveHung(double odds, Instant started, Instant now);
 
   /// Sets the odds by work that still runs; they count until they are set anew.
-  void SetRunningOdds(double odds) { m_running_odds = odds; }
+  /// @param since Latest start of such work.
+  void SetRunningOdds(double odds, Instant since) {
+    m_running_odds = odds;
+    m_running_since = since;
+  }
 
   /// Probability that the endpoint is failing grayly at `now`.
   double Probability(Instant now) const;
@@ -60,11 +65,18 @@
   /// Probability by what has ended.
   double Settled(Instant now) const;
 
+  /// A probability after evidence of some odds.
+  static double After(double probability, double odds);
+
+  /// A probability some time later, when nothing has been heard.
+  double Aged(double probability, Duration age) const;
+
   GrayFilterSettings m_settings;
   double m_prior;
   double m_decay_per_s;
   double m_probability;
   double m_running_odds = 1;
+  Instant m_running_since{};
   Instant m_updated{};
 };
 
--- a/fescueramp/node/entry_requests.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -70,6 +70,7 @@
   const auto object = table->Set().m_accounts.find(name);
   open.m_group = object == table->Set().m_accounts.end() ? "anonymous" : object->second.m_group;
   open.m_max_body_bytes = route.m_max_body_bytes;
+  open.m_services = table->ServicesOf(route);
   m_open.emplace(id, std::move(open));
   ++m_accounts[name].m_open;
   Forward(id, now, out);
@@ -151,6 +152,9 @@
   request.m_forwards =
       std::max(open.m_forwards - redirects, 1 + m_ownership.NodesBefore(PartOf(request), node));
   request.m_max_attempts -= open.m_attempts;
+  const Outcomes told = std::exchange(m_outcomes[request.m_service], {});
+  request.m_served_since = told.m_served;
+  request.m_unserved_since = told.m_unserved;
   if (open.m_forwards > 1) request.m_request_id += "." + std::to_string(open.m_forwards);
   out.emplace_back(ForwardRequest{request_id, node, member->second.m_address, member->second.m_link_port,
                                   open.m_group, open.m_max_body_bytes, !m_claims && !request.m_repeatable,
@@ -164,8 +168,12 @@
   return now >= open.m_request.m_deadline ? ResultCode::kDeadlineExceeded : ResultCode::kAnswerIncomplete;
 }
 
-void EntryRequests::Close(const std::string& request_id) {
+void EntryRequests::Close(const std::string& request_id, bool served) {
   const auto open = m_open.find(request_id);
+  for (const auto& service : open->second.m_services) {
+    Outcomes& outcomes = m_outcomes[service];
+    ++(served ? outcomes.m_served : outcomes.m_unserved);
+  }
   const auto account = m_accounts.find(open->second.m_request.m_account);
   --account->second.m_open;
   m_open.erase(open);
@@ -179,7 +187,7 @@
   switch (event.m_outcome) {
     case ForwardOutcome::kAnswered:
       m_ownership.MarkReachable(event.m_node);
-      return Close(event.m_request_id);
+      return Close(event.m_request_id, event.m_served);
     case ForwardOutcome::kCallerLeft:
       return Close(event.m_request_id);
     case ForwardOutcome::kConnectFailed:
--- a/fescueramp/node/entry_requests.h
+++ b/fescueramp/node/entry_requests.h
@@ -42,6 +42,13 @@
     std::int64_t m_redirects = 0;  ///< Forwards that ended with the name of another part.
     std::string m_full_zone;       ///< Zone whose part had no room; empty when none was asked in vain.
     bool m_maybe_ran = false;
+    std::vector<std::string> m_services;  ///< That the route may send it to.
+  };
+
+  /// Requests that ended here and that a service's dispatcher has not been told of.
+  struct Outcomes {
+    std::int64_t m_served = 0;
+    std::int64_t m_unserved = 0;
   };
   struct AccountState {
     TokenBucket m_bucket;
@@ -59,7 +66,7 @@
   void NoteRedirect(OpenRequest& open, const ForwardEnded& event);
   void Refuse(const std::string& request_id, ResultCode code, Duration retry_after, Effects& out,
               bool maybe_ran = false);
-  void Close(const std::string& request_id);
+  void Close(const std::string& request_id, bool served = false);
   ResultCode CodeWithoutAnswer(const OpenRequest& open, Instant now) const;
 
   const Membership& m_membership;
@@ -67,6 +74,7 @@
   bool m_claims;
   std::unordered_map<std::string, OpenRequest> m_open;
   std::unordered_map<std::string, AccountState> m_accounts;
+  std::unordered_map<std::string, Outcomes> m_outcomes;  ///< By service.
   /// How services are split, by service: the newest that dispatchers told.
   std::unordered_map<std::string, SplitView> m_splits;
 };
--- a/fescueramp/node/events.h
+++ b/fescueramp/node/events.h
@@ -64,11 +64,12 @@
   std::int64_t m_attempts = 0;  ///< Attempts that the dispatcher announced.
   SplitView m_split = {};       ///< When redirected: how the service is split.
   bool m_part_full = false;     ///< When redirected: whether the part has no room.
+  bool m_served = false;        ///< When answered: whether the caller got what it asked for.
   bool m_silent = false;        ///< Whether the dispatcher went silent: it may have begun an attempt more.
 };
 BOOST_DESCRIBE_STRUCT(ForwardEnded, (),
                       (m_request_id, m_node, m_outcome, m_body_replayable, m_permitted, m_attempts, m_split,
-                       m_part_full, m_silent))
+                       m_part_full, m_served, m_silent))
 
 /// A node has passed a request to this one.
 struct DispatchArrived {
--- a/fescueramp/routing/route_table.cc
+++ b/fescueramp/routing/route_table.cc
@@ -50,6 +50,11 @@
   return split.m_services[part];
 }
 
+std::vector<std::string> RouteTable::ServicesOf(const Route& route) const {
+  if (route.m_split.empty()) return {route.m_service};
+  return m_set.m_splits.at(route.m_split).m_services;
+}
+
 const std::string* RouteTable::FindAccount(const std::string& key_sha256) const {
   const auto found = m_accounts.find(key_sha256);
   return found == m_accounts.end() ? nullptr : found->second;
--- a/fescueramp/routing/route_table.h
+++ b/fescueramp/routing/route_table.h
@@ -36,6 +36,9 @@
   /// @param draw Evenly distributed number that chooses among the parts of a split.
   const std::string& ServiceOf(const Route& route, std::uint64_t draw) const;
 
+  /// Services that may do the work of a route.
+  std::vector<std::string> ServicesOf(const Route& route) const;
+
   /// Name of the account with this key hash, or null when there is none.
   const std::string* FindAccount(const std::string& key_sha256) const;
 
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -282,6 +282,71 @@
   BOOST_TEST(large < 390);
 }
 
+BOOST_AUTO_TEST_CASE(EntryHostTellsWhatBecameOfRequests) {
+  DiscoveryNode node(6);
+  const auto end = [&](const std::string& id, bool served) {
+    const ForwardRequest forward = node.File(id);
+    ForwardEnded ended{id, forward.m_node, ForwardOutcome::kAnswered, true, true, 1};
+    ended.m_served = served;
+    node.Post(ended);
+    return forward.m_request;
+  };
+  BOOST_TEST(end("n0-1", true).m_served_since == 0);
+  const DispatchRequest second = end("n0-2", false);
+  BOOST_TEST(second.m_served_since == 1);
+  BOOST_TEST(second.m_unserved_since == 0);
+  const DispatchRequest third = end("n0-3", false);
+  BOOST_TEST(third.m_served_since == 0);
+  BOOST_TEST(third.m_unserved_since == 1);
+}
+
+/// Requests that end elsewhere, and whether an endpoint in doubt must get work.
+struct ToldOutcomes {
+  std::int64_t m_served;
+  std::int64_t m_unserved;
+  bool m_tried;
+};
+
+std::ostream& operator<<(std::ostream& out, const ToldOutcomes& row) {
+  return out << row.m_served << " served, " << row.m_unserved << " not";
+}
+
+const ToldOutcomes kToldOutcomes[] = {{10, 0, false}, {20, 1, false}, {8, 2, true}};
+
+BOOST_DATA_TEST_CASE(MuchThatFailsElsewhereLeavesNoEndpointWithoutWork,
+                     boost::unit_test::data::make(kToldOutcomes), row) {
+  // Recorded: a route was split among two services, one refused half of it, and sound endpoints of the other
+  // that had been in doubt got nothing, as next to nothing failed there.
+  DiscoveryNode node(0);
+  node.Post(EndpointsListed{1, {Live("i-1"), Live("i-2")}});
+  const auto work = [&](const std::string& id, const ToldOutcomes& told) {
+    DispatchRequest request = Filing(id, node.Now());
+    request.m_served_since = told.m_served;
+    request.m_unserved_since = told.m_unserved;
+    return DiscoveryNode::Select<StartAttempt>(node.Post(DispatchArrived{request, 0})).at(0);
+  };
+  const auto end = [&](const StartAttempt& start, AttemptOutcome outcome) {
+    AttemptResult result;
+    result.m_request_id = start.m_request_id;
+    result.m_part = "work";
+    result.m_attempt = start.m_attempt;
+    result.m_outcome = outcome;
+    result.m_latency = milliseconds(100);
+    node.Post(AttemptEnded{result});
+  };
+  // One endpoint breaks its work off; then the other serves all.
+  const StartAttempt lost = work("x-0", {0, 0, false});
+  end(lost, AttemptOutcome::kBroken);
+  bool tried = false;
+  for (int i = 1; i < 45; ++i) {
+    node.Run<SetWatching>(milliseconds(100));
+    const StartAttempt start = work("x-" + std::to_string(i), row);
+    tried = tried || start.m_endpoint == lost.m_endpoint;
+    end(start, AttemptOutcome::kAnswered);
+  }
+  BOOST_TEST(tried == row.m_tried);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/unit_tests/placement_test.cc
+++ b/unit_tests/placement_test.cc
@@ -68,6 +68,29 @@
   BOOST_TEST(doubt <= row.m_most);
 }
 
+BOOST_AUTO_TEST_CASE(WhatWorkTellsIsAsOldAsTheWork) {
+  // Recorded: an upload hung for eight seconds, and its endpoint got nothing for ten, though it had
+  // recovered.
+  ManualClock clock;
+  GrayFilter filter;
+  filter.Observe(Evidence::kGood, clock.Now(), clock.Now());
+  const Instant started = clock.Now();
+  clock.Advance(milliseconds(600));
+  filter.SetRunningOdds(300, started);
+  BOOST_TEST(filter.Probability(clock.Now()) > 0.7);
+  clock.Advance(seconds(7));
+  BOOST_TEST(filter.Probability(clock.Now()) < 0.5);
+  filter.SetRunningOdds(1, {});
+  filter.ObserveHung(300, started, clock.Now());
+  BOOST_TEST(filter.Probability(clock.Now()) < 0.5);
+  // A good answer to work begun long ago leaves more doubt than one to work begun just now.
+  GrayFilter older;
+  older.Observe(Evidence::kGood, clock.Now() - seconds(2), clock.Now());
+  GrayFilter newer;
+  newer.Observe(Evidence::kGood, clock.Now(), clock.Now());
+  BOOST_TEST(older.Probability(clock.Now()) > newer.Probability(clock.Now()));
+}
+
 BOOST_AUTO_TEST_CASE(OneFailureOutweighsASlowAnswer) {
   ManualClock clock;
   PlacementState failed = KnownSound(clock.Now());
