--- a/fescueramp/net/link.cc
+++ b/fescueramp/net/link.cc
@@ -17,9 +17,11 @@
 constexpr std::size_t kReadChunk = 64 * 1024;    ///< Bytes of one read.
 constexpr const char* kInterimStatus = "100";
 constexpr std::size_t kMaxHeaderBytes = 64 * 1024;
-constexpr auto kWatchPeriod = std::chrono::milliseconds(200);   ///< Time between looks at a busy link.
-constexpr auto kPingAfter = std::chrono::milliseconds(300);     ///< Silence after which the peer is pinged.
-constexpr auto kSilenceLimit = std::chrono::milliseconds(900);  ///< Silence after which the link is given up.
+constexpr auto kWatchPeriod = std::chrono::milliseconds(150);  ///< Time between looks at a busy link.
+constexpr auto kPingAfter = std::chrono::milliseconds(250);    ///< Silence after which the peer is pinged.
+/// Silence after which what has not begun goes elsewhere: half of the shortest targets, and dozens of round
+/// trips.
+constexpr auto kSilenceLimit = std::chrono::milliseconds(600);
 /// Silence after which nothing is kept either: longer than pauses that hosts come back from.
 constexpr auto kLongestKept = std::chrono::seconds(15);
 
--- a/fescueramp/node/entry_requests.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -183,7 +183,8 @@
   const auto found = m_open.find(event.m_request_id);
   if (found == m_open.end()) return;
   OpenRequest& open = found->second;
-  open.m_attempts += event.m_attempts + (event.m_silent ? 1 : 0);
+  // A dispatcher that went silent may have begun an attempt more, if it was permitted to.
+  open.m_attempts += event.m_attempts + (event.m_silent && event.m_permitted ? 1 : 0);
   switch (event.m_outcome) {
     case ForwardOutcome::kAnswered:
       m_ownership.MarkReachable(event.m_node);
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -282,6 +282,24 @@
   BOOST_TEST(large < 390);
 }
 
+BOOST_AUTO_TEST_CASE(FilingThatNobodyWasPermittedToRunGoesOnToTheThirdNode) {
+  // Recorded: two owners in a row stood still, and filings that neither had been permitted to run were
+  // refused after two seconds, as if both had begun them.
+  DiscoveryNode node(8);
+  std::string dispatcher = node.File("n0-1").m_node;
+  std::set<std::string> asked = {dispatcher};
+  for (int i = 0; i < 3; ++i) {
+    ForwardEnded ended{"n0-1", dispatcher, ForwardOutcome::kLinkLost, true, false, 0};
+    ended.m_silent = true;
+    const auto again = DiscoveryNode::Select<ForwardRequest>(node.Post(ended));
+    BOOST_REQUIRE(again.size() == 1U);
+    BOOST_TEST(again[0].m_request.m_max_attempts == 2);
+    dispatcher = again[0].m_node;
+    asked.insert(dispatcher);
+  }
+  BOOST_TEST(asked.size() == 4U);
+}
+
 BOOST_AUTO_TEST_CASE(EntryHostTellsWhatBecameOfRequests) {
   DiscoveryNode node(6);
   const auto end = [&](const std::string& id, bool served) {
