--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -121,7 +121,6 @@
   if (result.m_draining) m_endpoints.SetLeaving(attempt.m_endpoint, true, now);
   // An attempt that spans a pause of this node says nothing about the endpoint.
   if (attempt.m_started < m_last_pause) return;
-  const bool cold = false;
   if (result.m_outcome == AttemptOutcome::kShed) {
     m_endpoints.NoteRefused(attempt.m_endpoint, now);
   } else if (WentUnanswered(result.m_outcome)) {
@@ -130,13 +129,11 @@
   } else {
     if (result.m_outcome == AttemptOutcome::kBroken) m_endpoints.Times().AddFailure(false);
     const double usual = UsualTime(pending.m_request);
-    // How long it takes while it is cold says nothing about how it runs.
-    const double relative = usual > 0 && !cold ? ToSeconds(result.m_latency) / usual : 0;
+    const double relative = usual > 0 ? ToSeconds(result.m_latency) / usual : 0;
     const Evidence evidence = EvidenceOf(result.m_outcome, relative);
     const bool timed = evidence == Evidence::kGood || evidence == Evidence::kSlow;
     m_endpoints.Observe(attempt.m_endpoint, evidence, timed ? relative : 0, attempt.m_started, now);
   }
-  if (cold && result.m_outcome == AttemptOutcome::kAnswered) return;
   const std::string& work = pending.m_request.m_route;
   ReportChanges(m_health.Observe(attempt.m_endpoint, work, result.m_outcome, result.m_latency, now), out);
 }
