Show how many endpoints a dispatcher uses, avoids and what runs there

Cause: attempts are logged when they end, so requests in progress at a loss of power left no trace, and the share of endpoints that get requests had to be computed from all attempts of a service. The three hypotheses about FLOOR differ just in these: what was in progress, what was known as not served, and whether unused endpoints were avoided or lacked requests. Change: the load of a dispatcher holds its endpoints in service, those sent a request within 2 s, those avoided, and the share of ended requests that were not served. Written as `dispatcher_load` every 2 s, as gauges fescueramp_dispatcher{service,name}, and in the status that fescuectl reads. No decision changes. Measured: dispatch/LoadShowsWhichEndpointsGetRequests passes.

--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -85,6 +85,7 @@
   OpenServers();
   OpenLinkPort();
   asio::co_spawn(executor, TickLoop(), asio::detached);
+  asio::co_spawn(executor, LogDispatcherLoads(), asio::detached);
   asio::co_spawn(executor, LoadInitialConfiguration(), asio::detached);
   asio::co_spawn(executor, WatchSettingsFile(), asio::detached);
   HandleSignals();
@@ -211,6 +212,17 @@
   }
 }
 
+asio::awaitable<void> NodeDaemon::LogDispatcherLoads() {
+  while (true) {
+    co_await Sleep(kCoverageWindow);
+    for (const auto& [service, dispatcher] : m_reducer.Dispatchers()) {
+      const DispatcherLoad load = dispatcher->Load(m_clock.Now());
+      if (load.m_running + load.m_queued + load.m_endpoints_used == 0) continue;
+      m_log.Write("dispatcher_load", ToJson(load).as_object());
+    }
+  }
+}
+
 asio::awaitable<void> NodeDaemon::LoadInitialConfiguration() {
   // Gossip also announces the revisions of other nodes, so the store is read only until one of them is
   // loaded.
@@ -403,7 +415,9 @@
   m_metrics.SetGauge("caller_connections", static_cast<double>(m_caller_server->Connections()));
   double queued = 0;
   for (const auto& [service, dispatcher] : m_reducer.Dispatchers()) {
-    queued += static_cast<double>(dispatcher->Load(m_clock.Now()).m_queued);
+    const DispatcherLoad load = dispatcher->Load(m_clock.Now());
+    queued += static_cast<double>(load.m_queued);
+    m_metrics.SetDispatcherLoad(load);
   }
   m_metrics.SetGauge("queued", queued);
 }
--- a/fescueramp/daemon/node_daemon.h
+++ b/fescueramp/daemon/node_daemon.h
@@ -61,6 +61,8 @@
 
   asio::awaitable<void> RunStoreOperation(StoreEffect operation);
   asio::awaitable<void> TickLoop();
+  /// Logs the load of every dispatcher in use once per `kCoverageWindow`.
+  asio::awaitable<void> LogDispatcherLoads();
   asio::awaitable<void> LoadInitialConfiguration();
   asio::awaitable<void> HandleReadiness(std::shared_ptr<HttpExchange> exchange);
   void MakeControlPlane(const Adapter* adapter);
--- a/fescueramp/daemon/node_metrics.cc
+++ b/fescueramp/daemon/node_metrics.cc
@@ -34,7 +34,9 @@
       m_member_changes(Build(prometheus::BuildCounter(), "fescueramp_member_changes_total",
                              "Changes of members, by new state.", m_registry)),
       m_gauges(
-          Build(prometheus::BuildGauge(), "fescueramp_node", "Values of this node, by name.", m_registry)) {}
+          Build(prometheus::BuildGauge(), "fescueramp_node", "Values of this node, by name.", m_registry)),
+      m_dispatcher_gauges(Build(prometheus::BuildGauge(), "fescueramp_dispatcher",
+                                "Values of this node's dispatchers, by service and name.", m_registry)) {}
 
 const std::string& NodeMetrics::BoundedLabel(std::set<std::string>& seen, const std::string& name) {
   if (seen.contains(name) || seen.size() < kMaxLabelValues) return *seen.insert(name).first;
@@ -75,6 +77,19 @@
   m_gauges.Add({{"name", name}}).Set(value);
 }
 
+void NodeMetrics::SetDispatcherLoad(const DispatcherLoad& load) {
+  const std::string& service = BoundedLabel(m_services, load.m_service);
+  const auto set = [&](const char* name, double value) {
+    m_dispatcher_gauges.Add({{"service", service}, {"name", name}}).Set(value);
+  };
+  set("queued", static_cast<double>(load.m_queued));
+  set("running", static_cast<double>(load.m_running));
+  set("endpoints", static_cast<double>(load.m_endpoints));
+  set("endpoints_used", static_cast<double>(load.m_endpoints_used));
+  set("endpoints_avoided", static_cast<double>(load.m_endpoints_avoided));
+  set("unserved_share", load.m_unserved_share);
+}
+
 std::string NodeMetrics::Text() const { return prometheus::TextSerializer().Serialize(m_registry.Collect()); }
 
 }  // namespace fescueramp
--- a/fescueramp/daemon/node_metrics.h
+++ b/fescueramp/daemon/node_metrics.h
@@ -11,6 +11,7 @@
 #include <string>
 
 #include "fescueramp/core/time.h"
+#include "fescueramp/dispatch/dispatcher.h"
 
 namespace fescueramp {
 
@@ -43,6 +44,9 @@
   /// Sets a gauge by name, such as a queue length or the number of store calls.
   void SetGauge(const std::string& name, double value);
 
+  /// Sets the gauges of the dispatcher of a service or a part of one.
+  void SetDispatcherLoad(const DispatcherLoad& load);
+
   /// All metrics in the Prometheus text format.
   std::string Text() const;
 
@@ -57,6 +61,7 @@
   prometheus::Family<prometheus::Counter>& m_health_changes;
   prometheus::Family<prometheus::Counter>& m_member_changes;
   prometheus::Family<prometheus::Gauge>& m_gauges;
+  prometheus::Family<prometheus::Gauge>& m_dispatcher_gauges;
   std::set<std::string> m_classes;
   std::set<std::string> m_groups;
   std::set<std::string> m_services;
--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -8,6 +8,7 @@
 
 #include "fescueramp/config/live_endpoint.h"
 #include "fescueramp/dispatch/dispatch_types.h"
+#include "fescueramp/dispatch/endpoint_coverage.h"
 #include "fescueramp/routing/route_table.h"
 
 namespace fescueramp {
@@ -25,9 +26,15 @@
   std::int64_t m_slots = 0;
   std::int64_t m_slots_in_service = 0;
   std::int64_t m_floor_slots = 0;
+  std::int64_t m_endpoints = 0;       ///< Endpoints in service, ejected ones included.
+  std::int64_t m_endpoints_used = 0;  ///< Endpoints in service sent a request within `kCoverageWindow`.
+  /// Endpoints in service that were not used and are probably in a gray failure.
+  std::int64_t m_endpoints_avoided = 0;
+  double m_unserved_share = 0;  ///< Share of the requests that ended recently which were not served, 0 to 1.
 };
 BOOST_DESCRIBE_STRUCT(DispatcherLoad, (),
-                      (m_service, m_queued, m_running, m_slots, m_slots_in_service, m_floor_slots))
+                      (m_service, m_queued, m_running, m_slots, m_slots_in_service, m_floor_slots,
+                       m_endpoints, m_endpoints_used, m_endpoints_avoided, m_unserved_share))
 
 /// State of one endpoint, for status.
 struct EndpointStatus {
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -80,6 +80,21 @@
   }
 }
 
+EndpointCoverage EndpointTable::Coverage(Instant now) const {
+  EndpointCoverage coverage;
+  for (const auto& [name, state] : m_slots) {
+    const auto health = m_health.Endpoints().find(name);
+    if (health == m_health.Endpoints().end() || !health->second.m_in_service) continue;
+    ++coverage.m_in_service;
+    if (state.m_placement.UsedAfter(now - kCoverageWindow)) {
+      ++coverage.m_used;
+    } else if (!state.m_placement.LikelyHealthy(now)) {
+      ++coverage.m_avoided;
+    }
+  }
+  return coverage;
+}
+
 void EndpointTable::Update(Slots& state, Instant now) {
   const bool in_service = state.m_endpoint.m_admin_state == AdminState::kInService && !state.m_leaving;
   m_health.SetInService(state.m_name, in_service);
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -10,6 +10,7 @@
 #include "fescueramp/config/live_endpoint.h"
 #include "fescueramp/config/objects.h"
 #include "fescueramp/core/time.h"
+#include "fescueramp/dispatch/endpoint_coverage.h"
 #include "fescueramp/dispatch/placement.h"
 #include "fescueramp/health/health_monitor.h"
 #include "fescueramp/health/service_time_model.h"
@@ -139,6 +140,9 @@
   /// Usable slots of all endpoints, busy ones included.
   std::int64_t TotalUsable() const { return m_total_usable; }
 
+  /// Returns how many endpoints in service get requests.
+  EndpointCoverage Coverage(Instant now) const;
+
   /// Slots in use at all endpoints.
   std::int64_t TotalBusy() const { return m_total_busy; }
 
--- a/fescueramp/dispatch/fair_dispatcher_records.cc
+++ b/fescueramp/dispatch/fair_dispatcher_records.cc
@@ -54,7 +54,7 @@
   return other.m_reserve > 0 ? OrderRule::kSlotReserve : OrderRule::kClassShare;
 }
 
-DispatcherLoad FairDispatcher::Load(Instant) const {
+DispatcherLoad FairDispatcher::Load(Instant now) const {
   DispatcherLoad load;
   load.m_service = PartName(m_part);
   load.m_queued = Queued();
@@ -62,6 +62,11 @@
   load.m_slots = m_endpoints.TotalUsable();
   load.m_slots_in_service = m_health.SlotsInService();
   load.m_floor_slots = m_health.FloorSlots();
+  const EndpointCoverage coverage = m_endpoints.Coverage(now);
+  load.m_endpoints = coverage.m_in_service;
+  load.m_endpoints_used = coverage.m_used;
+  load.m_endpoints_avoided = coverage.m_avoided;
+  load.m_unserved_share = UnservedShare(now);
   return load;
 }
 
--- a/fescueramp/dispatch/placement.h
+++ b/fescueramp/dispatch/placement.h
@@ -61,6 +61,9 @@
   /// Records that a request was sent.
   void RecordUse(Instant now) { m_last_used = now; }
 
+  /// Whether a request was sent after time `since`.
+  bool UsedAfter(Instant since) const { return m_last_used > since; }
+
   /// Sets the time from which the endpoint runs at full speed. An earlier time than the current one is
   /// ignored.
   void SetWarmAt(Instant warm_at) { m_warm_at = std::max(m_warm_at, warm_at); }
--- a/unit_tests/dispatch_test.cc
+++ b/unit_tests/dispatch_test.cc
@@ -237,6 +237,22 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LoadShowsWhichEndpointsGetRequests) {
+  DispatchHarness harness(3, 1, nullptr, true);
+  const std::string failed = harness.Send("short", "alice", false);
+  harness.End(failed, AttemptOutcome::kBroken);
+  harness.Advance(milliseconds(2100));
+  harness.Send("short", "alice", false);
+  const DispatcherLoad load = harness.Target().Load(harness.Now());
+  BOOST_TEST(load.m_running == 1);
+  BOOST_TEST(load.m_endpoints == 3);
+  BOOST_TEST(load.m_endpoints_used == 1);
+  BOOST_TEST(load.m_endpoints_avoided == 1);
+  BOOST_TEST(load.m_unserved_share == 1);
+  harness.Leave("e2");
+  BOOST_TEST(harness.Target().Load(harness.Now()).m_endpoints == 2);
+}
+
 BOOST_AUTO_TEST_CASE(CrashingRequestRunsAloneAndIsThenQuarantined) {
   DispatchHarness harness(4, 2);
   const std::string innocent = harness.Send("short");
