--- a/unit_tests/adverse_load_test.cc
+++ b/unit_tests/adverse_load_test.cc
@@ -1,3 +1,4 @@
+#include <algorithm>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
@@ -117,6 +118,66 @@
   BOOST_TEST(replay.Ejections() == 0);
 }
 
+/// A load on endpoints of which some reset connections for a while and then recover.
+struct RecoveryCase {
+  const char* m_name;
+  int m_endpoints;
+  double m_arrivals_per_s;
+  bool m_repeatable;
+};
+
+std::ostream& operator<<(std::ostream& out, const RecoveryCase& row) { return out << row.m_name; }
+
+const RecoveryCase kRecoveryCases[] = {
+    {"repeatable requests", 40, 60, true},
+    {"non-repeatable requests", 40, 60, false},
+    {"few endpoints", 8, 15, true},
+};
+
+bool AnyWithin(const std::map<int, std::vector<double>>& times, int endpoint, double from, double to) {
+  const auto found = times.find(endpoint);
+  return found != times.end() && std::any_of(found->second.begin(), found->second.end(),
+                                             [&](double time) { return time >= from && time < to; });
+}
+
+/// Share of the endpoints that got requests in the 2 s from `from` on. Endpoints that reset a connection then
+/// or less than 2 s before are left out.
+double CoverageFrom(const LoadResult& result, int endpoints, double from) {
+  int used = 0;
+  int counted = 0;
+  for (int endpoint = 0; endpoint < endpoints; ++endpoint) {
+    if (AnyWithin(result.m_resets, endpoint, from - 2, from + 2)) continue;
+    ++counted;
+    used += AnyWithin(result.m_starts, endpoint, from, from + 2) ? 1 : 0;
+  }
+  return counted > 0 ? static_cast<double>(used) / counted : 1;
+}
+
+BOOST_DATA_TEST_CASE(RecoveredEndpointsAreNotLeftUnused, boost::unit_test::data::make(kRecoveryCases), row) {
+  // Guards against an unused share of healthy endpoints above the floor while nearly all requests are served.
+  constexpr double kFloor = 0.7;
+  constexpr double kPeriod = 9;
+  LoadPattern pattern;
+  pattern.m_endpoints = row.m_endpoints;
+  pattern.m_slots = 2;
+  pattern.m_repeatable = row.m_repeatable;
+  pattern.m_seconds = 60;
+  pattern.m_arrivals_per_s = [&](double) { return row.m_arrivals_per_s; };
+  // In each period, three in ten endpoints reset connections.
+  pattern.m_mode = [&](int endpoint, double time) {
+    const auto period = static_cast<int>(time / kPeriod);
+    return (endpoint + 3 * period) % 10 < 3 ? EndpointMode::kResets : EndpointMode::kHealthy;
+  };
+  const LoadResult result = LoadSimulator(pattern).Run();
+  double lowest = 1;
+  for (double from = 2; from <= pattern.m_seconds - 2; from += 0.25)
+    lowest = std::min(lowest, CoverageFrom(result, row.m_endpoints, from));
+  BOOST_TEST_MESSAGE(row.m_name << ": lowest coverage " << lowest << ", lost " << result.m_lost << " of "
+                                << result.m_requests);
+  BOOST_TEST(result.m_violations.empty());
+  BOOST_TEST(lowest >= kFloor);
+}
+
 BOOST_AUTO_TEST_CASE(HangLikelihoodFollowsServiceTimes) {
   ServiceTimeModel times;
   for (int i = 0; i < 200; ++i) times.AddResponse("work", milliseconds(i % 30 == 0 ? 700 : 100));
--- a/unit_tests/load_simulator.cc
+++ b/unit_tests/load_simulator.cc
@@ -12,6 +12,7 @@
 constexpr Duration kTickInterval = std::chrono::milliseconds(10);
 constexpr double kHangShare = 0.75;
 constexpr double kRefuseShare = 0.5;
+constexpr double kResetShare = 0.85;
 constexpr double kTailShare = 0.03;
 constexpr double kTailFactor = 7;
 
@@ -106,6 +107,7 @@
   const int endpoint = std::stoi(effect.m_endpoint.substr(1));
   const EndpointMode mode = m_pattern.m_mode ? m_pattern.m_mode(endpoint, Seconds()) : EndpointMode::kHealthy;
   Running running{effect, AttemptOutcome::kResponded, m_clock.Now()};
+  m_result.m_starts[endpoint].push_back(Seconds());
   std::normal_distribution<double> normal;
   double seconds = ToSeconds(m_pattern.m_service_time) * std::exp(normal(m_random) * m_pattern.m_spread);
   if (UniformRandom() < kTailShare) seconds *= kTailFactor;
@@ -115,6 +117,11 @@
   } else {
     if (!m_ran.insert(effect.m_request_id).second && !m_pattern.m_repeatable)
       m_result.m_violations.push_back(effect.m_request_id + " ran twice");
+    if (mode == EndpointMode::kResets && UniformRandom() < kResetShare) {
+      running.m_outcome = AttemptOutcome::kBroken;
+      seconds = ToSeconds(kTickInterval);
+      m_result.m_resets[endpoint].push_back(Seconds());
+    }
     if (mode == EndpointMode::kHangs && UniformRandom() < kHangShare)
       seconds = ToSeconds(m_pattern.m_patience);
   }
--- a/unit_tests/load_simulator.h
+++ b/unit_tests/load_simulator.h
@@ -18,6 +18,7 @@
   kHealthy,
   kHangs,    ///< Three in four requests get no response.
   kRefuses,  ///< Half of the requests are refused and not run.
+  kResets,   ///< Most connections are reset right after the request was sent.
 };
 
 /// Load on one service and behaviour of its endpoints.
@@ -44,11 +45,13 @@
   int m_requests = 0;
   int m_in_target = 0;  ///< Responses within the target latency, counted from the first try.
   int m_late = 0;
-  int m_lost = 0;                         ///< Requests that were sent and whose outcome is unknown.
-  int m_refused = 0;                      ///< Requests that never ran.
-  int m_slow_refusals = 0;                ///< Refusals that took more than an eighth of the target.
-  std::map<std::string, int> m_lost_at;   ///< Timed-out attempts by endpoint.
-  std::vector<std::string> m_violations;  ///< Descriptions of violated invariants.
+  int m_lost = 0;                               ///< Requests that were sent and whose outcome is unknown.
+  int m_refused = 0;                            ///< Requests that never ran.
+  int m_slow_refusals = 0;                      ///< Refusals that took more than an eighth of the target.
+  std::map<std::string, int> m_lost_at;         ///< Timed-out attempts by endpoint.
+  std::map<int, std::vector<double>> m_starts;  ///< Start times of attempts by endpoint, seconds.
+  std::map<int, std::vector<double>> m_resets;  ///< Times of reset connections by endpoint, seconds.
+  std::vector<std::string> m_violations;        ///< Descriptions of violated invariants.
 };
 
 /// Simulates a load on a dispatcher with a manual clock and models of callers and endpoints.
