Don't take the service times of endpoints that warm up as evidence of slowness

What callers saw: an endpoint that has just started could be ejected for 5 s although it served all it got; a service lost its slots when they were needed. Cause: endpoints that warm up were kept out of the ejection only because non-repeatable requests avoided them. Repeatable requests were sent there, took twice as long, and counted as slow. Change: a service time counts only if the attempt began on a warm endpoint; errors count as before.

--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -142,7 +142,10 @@
     m_endpoints.Observe(attempt.m_endpoint, evidence, timed ? relative : 0, attempt.m_started, now);
   }
   const std::string& work = pending.m_request.m_route;
-  ReportChanges(m_health.Observe(attempt.m_endpoint, work, result.m_outcome, result.m_latency, now), out);
+  // An endpoint that warms up is slow for a known reason.
+  const bool cold = m_endpoints.Cold(attempt.m_endpoint, attempt.m_started);
+  const Duration latency = cold ? Duration(0) : result.m_latency;
+  ReportChanges(m_health.Observe(attempt.m_endpoint, work, result.m_outcome, latency, now), out);
 }
 
 void FairDispatcher::ReportChanges(const std::vector<HealthChange>& changes, DispatchEffects& out) {
--- a/fescueramp/health/health_monitor.cc
+++ b/fescueramp/health/health_monitor.cc
@@ -12,7 +12,6 @@
 constexpr double kUnhealthyToNormalRatio =
     8;  ///< Error rate of an unhealthy endpoint, at least this multiple of the others'.
 constexpr double kOutlierFactor = 3;  ///< Rate of bad responses of an outlier, in multiples of the others'.
-constexpr Duration kMinLatency = std::chrono::microseconds(1);
 
 bool IsError(AttemptOutcome outcome) {
   return outcome == AttemptOutcome::kServerError || outcome == AttemptOutcome::kBroken ||
@@ -108,8 +107,8 @@
   if (record.m_state == HealthState::kEjected) return {};
   AddErrorEvidence(record, error);
   bool slow = false;
-  if (!error)
-    slow = AddLatencyEvidence(record, work, static_cast<double>(std::max(latency, kMinLatency).count()));
+  if (!error && latency > Duration(0))
+    slow = AddLatencyEvidence(record, work, static_cast<double>(latency.count()));
   if (record.m_state == HealthState::kCanary) return EvaluateCanary(endpoint, record, !error && !slow, now);
   return EvaluateEvidence(endpoint, record, now);
 }
--- a/fescueramp/health/health_monitor.h
+++ b/fescueramp/health/health_monitor.h
@@ -129,6 +129,7 @@
 
   /// Adds the evidence of one finished attempt and returns the state transitions that follow from it.
   /// @param work Name of a kind of work; latencies are compared only within one kind.
+  /// @param latency Service time; 0 if it is no evidence.
   std::vector<HealthChange> Observe(const std::string& endpoint, const std::string& work,
                                     AttemptOutcome outcome, Duration latency, Instant now);
 
