Give every endpoint in service requests at any time, not only while many are known as not served

Cause: the floor was kept by a condition that can't be known when an endpoint is chosen. Endpoints that are probably in a gray failure were tried every 3.6 s only while more than 8.5% of the ended requests were not served, else once the belief had faded, after some 9.5 s. Requests in progress count as not served when their hosts are lost; a dispatcher sees none of that before it is gone itself. Class of fault: a bound over outcomes that are known only later, kept by an estimate of the present. Change: the condition is gone; an endpoint is due after 1.5 s without a request, or 3.6 s if it is probably in a gray failure. Endpoints that warm up are due as well, since the floor holds for all that are ready. Ruled out: a lower threshold and a share that counts requests in progress, as 2 s across a loss hold requests that come after it. Cost: trials lose non-repeatable requests.

--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -144,7 +144,7 @@
     if (!Meets(*key.m_slots, need, now)) continue;
     if (!need.m_by_belief) return key.m_slots;
     const PlacementState::Load load{key.m_slots->m_busy, key.m_slots->m_usable, 0};
-    const bool due = key.m_slots->m_placement.DueForRequest(need.m_placement, load, now);
+    const bool due = key.m_slots->m_placement.DueForRequest(load, now);
     const bool can_wait = need.m_max_gray_probability < 1 && !due;
     if (can_wait && key.m_slots->m_busy >= AllowedSlots(*key.m_slots, need.m_max_gray_probability, now))
       continue;
@@ -165,7 +165,7 @@
     }
   }
   const double zone_cost = state.m_endpoint.m_zone == m_own_zone ? 0 : kCrossZoneCost;
-  return state.m_placement.Cost(need.m_placement, load, now) + zone_cost;
+  return state.m_placement.Cost(need.m_repeatable, load, now) + zone_cost;
 }
 
 std::int64_t EndpointTable::Take(Slots& state, const std::string& class_name, bool exclusive,
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -55,9 +55,9 @@
   /// What a request needs of an endpoint.
   struct Need {
     std::string m_class_name;
-    double m_max_share = 1;  ///< Maximum share of one endpoint's slots that the class may hold.
-    bool m_alone = false;    ///< Whether the request must run alone on an endpoint.
-    PlacementState::Need m_placement;
+    double m_max_share = 1;    ///< Maximum share of one endpoint's slots that the class may hold.
+    bool m_alone = false;      ///< Whether the request must run alone on an endpoint.
+    bool m_repeatable = true;  ///< Whether the request can be retried after a failure.
     bool m_canary = true;      ///< Whether the request may go to an endpoint in canary state.
     bool m_by_belief = false;  ///< Whether the cost decides; otherwise the least used endpoint is chosen.
     /// Gray-failure probability above which the request should wait for another endpoint; 1 if it should not
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -11,8 +11,6 @@
 /// Maximum number of requests of one class examined for a free slot.
 constexpr std::size_t kMaxLookAhead = 8;
 constexpr double kProgressFactor = 8;  ///< Progress timeout in multiples of the mean service time.
-/// Share of unserved requests above which endpoints that are probably in a gray failure get requests too.
-constexpr double kProbeUnservedShare = 0.085;
 /// Gray-failure probability above which a request waits for another endpoint, if the queue is nearly empty.
 constexpr double kMaxGrayProbabilityWithoutBacklog = 0.35;
 /// Gray-failure probability above which a request waits for another endpoint, if the backlog just fits into
@@ -211,10 +209,9 @@
   need.m_class_name = request.m_class_name;
   need.m_max_share = state == m_classes.end() ? 1 : state->second.m_priority.m_max_share;
   need.m_alone = m_suspects.IsSuspect(request.m_fingerprint);
-  need.m_placement.m_repeatable = request.m_repeatable;
+  need.m_repeatable = request.m_repeatable;
   // Without repeatable requests, a non-repeatable one must be the canary request.
   need.m_canary = request.m_repeatable || now - m_last_repeatable > kRepeatableTrialWait;
-  need.m_placement.m_probe_likely_gray = UnservedShare(now) > kProbeUnservedShare;
   need.m_expected_time = RouteServiceTime(request);
   need.m_by_belief = m_settings.m_by_belief;
   if (need.m_by_belief) need.m_max_gray_probability = MaxGrayProbability(pending, ExpectedTime(request), now);
--- a/fescueramp/dispatch/placement.cc
+++ b/fescueramp/dispatch/placement.cc
@@ -23,9 +23,6 @@
 constexpr double kSpreadBonus = 2.0;
 /// Gray-failure probability from which an endpoint counts as probably failing.
 constexpr double kLikelyGrayProbability = 0.5;
-/// Gray-failure probability from which an endpoint is not due for a request while most requests are served.
-/// It is above the prior of an endpoint without evidence.
-constexpr double kMaxSpreadGrayProbability = 0.35;
 /// Additional cost reduction of an endpoint that is due, per second without requests.
 constexpr double kUnusedBonusPerSecond = 0.2;
 constexpr double kMaxUnusedSeconds = 5;  ///< Limit of the seconds without requests that count.
@@ -68,18 +65,14 @@
   return std::max(1.0, m_relative_time) * (Cold(now) ? kColdFactor : 1);
 }
 
-bool PlacementState::DueForRequest(const Need& need, const Load& load, Instant now) const {
+bool PlacementState::DueForRequest(const Load& load, Instant now) const {
   if (load.m_busy >= load.m_slots) return false;
-  if (need.m_probe_likely_gray)
-    return now - m_last_used > (LikelyHealthy(now) ? kHealthySpreadInterval : kLikelyGraySpreadInterval);
-  const bool cold = Cold(now) && !need.m_repeatable;
-  return m_filter.Probability(now) < kMaxSpreadGrayProbability && !cold &&
-         now - m_last_used > kHealthySpreadInterval;
+  return now - m_last_used > (LikelyHealthy(now) ? kHealthySpreadInterval : kLikelyGraySpreadInterval);
 }
 
-double PlacementState::Cost(const Need& need, const Load& load, Instant now) const {
-  const double failure = m_filter.FailureProbability(now) *
-                         (need.m_repeatable ? kFailureCostRepeatable : kFailureCostNonRepeatable);
+double PlacementState::Cost(bool repeatable, const Load& load, Instant now) const {
+  const double failure =
+      m_filter.FailureProbability(now) * (repeatable ? kFailureCostRepeatable : kFailureCostNonRepeatable);
   double time = m_relative_time;
   if (load.m_longest_running > kOverdueRelativeTime)
     time = std::max(time, std::min(load.m_longest_running, kMaxRelativeTime));
@@ -88,7 +81,7 @@
       static_cast<double>(load.m_busy) / static_cast<double>(std::max<std::int64_t>(1, load.m_slots));
   const double cost =
       failure + kRefusalCost * RefusedShare(now) + kTimeCost * time + kOccupancyCost * occupancy;
-  if (!DueForRequest(need, load, now)) return cost;
+  if (!DueForRequest(load, now)) return cost;
   // If more endpoints are due than there are requests, the longest unused one goes first.
   return cost - kSpreadBonus -
          kUnusedBonusPerSecond * std::min(ToSeconds(now - m_last_used), kMaxUnusedSeconds);
--- a/fescueramp/dispatch/placement.h
+++ b/fescueramp/dispatch/placement.h
@@ -22,13 +22,6 @@
     double m_longest_running = 0;
   };
 
-  /// What a request needs.
-  struct Need {
-    bool m_repeatable = true;
-    /// Whether endpoints that are probably in a gray failure must also get a request now and then.
-    bool m_probe_likely_gray = false;
-  };
-
   /// Records one outcome. A good response to an attempt that started before the last failure is ignored:
   /// endpoints that reset new requests still finish those in progress.
   /// @param relative_time Service time in multiples of the expected time; 0 if it is no evidence.
@@ -73,10 +66,12 @@
 
   /// Cost of sending a request to this endpoint; the endpoint with the lowest cost is chosen. The failure
   /// probability weighs most, then the service time.
-  double Cost(const Need& need, const Load& load, Instant now) const;
+  /// @param repeatable Whether the request can be retried after a failure.
+  double Cost(bool repeatable, const Load& load, Instant now) const;
 
-  /// Whether the endpoint is due for one request, so that no endpoint goes without requests for long.
-  bool DueForRequest(const Need& need, const Load& load, Instant now) const;
+  /// Whether the endpoint is due for one request, so that no endpoint goes without requests for long. This
+  /// doesn't depend on how many requests are served: those in progress may still be lost with their hosts.
+  bool DueForRequest(const Load& load, Instant now) const;
 
   /// Probability that the endpoint is in a gray failure.
   double GrayProbability(Instant now) const { return m_filter.Probability(now); }
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -327,18 +327,17 @@
   BOOST_TEST(third.m_unserved_since == 1);
 }
 
-/// Outcomes that an entry host reports, and whether an endpoint suspected of a gray failure must get work.
+/// Outcomes that an entry host reports.
 struct ReportedOutcomes {
   std::int64_t m_served;
   std::int64_t m_unserved;
-  bool m_tried;
 };
 
 std::ostream& operator<<(std::ostream& out, const ReportedOutcomes& row) {
   return out << row.m_served << " served, " << row.m_unserved << " unserved";
 }
 
-const ReportedOutcomes kReportedOutcomes[] = {{10, 0, false}, {20, 1, false}, {8, 2, true}};
+const ReportedOutcomes kReportedOutcomes[] = {{10, 0}, {20, 1}, {8, 2}};
 
 BOOST_DATA_TEST_CASE(FailuresElsewhereLeaveNoEndpointWithoutWork,
                      boost::unit_test::data::make(kReportedOutcomes), row) {
@@ -362,18 +361,18 @@
     result.m_latency = milliseconds(100);
     node.Post(AttemptEnded{result});
   };
-  // One endpoint breaks off its attempt; the other endpoint serves all others unless the first is tried
-  // again.
-  const StartAttempt lost = dispatch("x-0", {0, 0, false});
+  // One endpoint breaks off its attempt. It gets the next one after 3.6 s, whatever is known of other
+  // requests.
+  const StartAttempt lost = dispatch("x-0", {0, 0});
   end(lost, AttemptOutcome::kBroken);
-  bool tried = false;
+  int tried_after = 0;  // Tenths of a second.
   for (int i = 1; i < 45; ++i) {
     node.Run<SetWatchScope>(milliseconds(100));
     const StartAttempt start = dispatch("x-" + std::to_string(i), row);
-    tried = tried || start.m_endpoint == lost.m_endpoint;
+    if (tried_after == 0 && start.m_endpoint == lost.m_endpoint) tried_after = i;
     end(start, AttemptOutcome::kResponded);
   }
-  BOOST_TEST(tried == row.m_tried);
+  BOOST_TEST(tried_after == 37);
 }
 
 BOOST_AUTO_TEST_SUITE_END()
--- a/unit_tests/placement_test.cc
+++ b/unit_tests/placement_test.cc
@@ -18,7 +18,7 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-const PlacementState::Need kFiling{false, false};
+constexpr bool kFilingRepeatable = false;  ///< Filings can't be retried.
 const PlacementState::Load kIdle{0, 2, 0};
 
 /// An endpoint that has responded a few times and was just sent a request.
@@ -97,25 +97,25 @@
   PlacementState failed = HealthyEndpoint(clock.Now());
   const PlacementState slow = HealthyEndpoint(clock.Now());
   failed.Observe(Evidence::kFailed, 0, clock.Now(), clock.Now());
-  const PlacementState::Need filing = kFiling;
   const PlacementState::Load idle{0, 2, 0};
   // Even with an overdue request, which may just be long, the endpoint without a failure is the better
   // choice.
   const PlacementState::Load overdue{1, 2, 20};
-  BOOST_TEST(failed.Cost(filing, idle, clock.Now()) > slow.Cost(filing, overdue, clock.Now()));
+  BOOST_TEST(failed.Cost(kFilingRepeatable, idle, clock.Now()) >
+             slow.Cost(kFilingRepeatable, overdue, clock.Now()));
 }
 
 BOOST_AUTO_TEST_CASE(RefusalsCostLessThanFailures) {
   ManualClock clock;
-  const PlacementState::Need filing = kFiling;
   const PlacementState::Load idle{0, 2, 0};
   PlacementState refusing = HealthyEndpoint(clock.Now());
   PlacementState failing = HealthyEndpoint(clock.Now());
-  const double before = refusing.Cost(filing, idle, clock.Now());
+  const double before = refusing.Cost(kFilingRepeatable, idle, clock.Now());
   for (int i = 0; i < 5; ++i) refusing.RecordRefusal(clock.Now());
   for (int i = 0; i < 5; ++i) failing.Observe(Evidence::kFailed, 0, clock.Now(), clock.Now());
-  BOOST_TEST(refusing.Cost(filing, idle, clock.Now()) > before);
-  BOOST_TEST(refusing.Cost(filing, idle, clock.Now()) < failing.Cost(filing, idle, clock.Now()) / 2);
+  BOOST_TEST(refusing.Cost(kFilingRepeatable, idle, clock.Now()) > before);
+  BOOST_TEST(refusing.Cost(kFilingRepeatable, idle, clock.Now()) <
+             failing.Cost(kFilingRepeatable, idle, clock.Now()) / 2);
   BOOST_TEST(refusing.GrayProbability(clock.Now()) < 0.01);
 }
 
@@ -124,18 +124,16 @@
   const char* m_name;
   int m_failures;     ///< Broken connections when it was last used.
   Duration m_unused;  ///< Time since its last use.
-  bool m_probe_likely_gray;
   bool m_chosen;
 };
 
 std::ostream& operator<<(std::ostream& out, const UnusedEndpointCase& row) { return out << row.m_name; }
 
 const UnusedEndpointCase kUnusedEndpointCases[] = {
-    {"healthy, used recently", 0, milliseconds(1400), false, false},
-    {"healthy, unused for long", 0, milliseconds(1600), false, true},
-    {"probably gray, while most requests are served", 2, milliseconds(3700), false, false},
-    {"probably gray, tried recently", 2, milliseconds(3500), true, false},
-    {"probably gray, while many requests fail", 2, milliseconds(3700), true, true},
+    {"healthy, used recently", 0, milliseconds(1400), false},
+    {"healthy, unused for long", 0, milliseconds(1600), true},
+    {"probably gray, tried recently", 2, milliseconds(3500), false},
+    {"probably gray, unused for long", 2, milliseconds(3700), true},
 };
 
 BOOST_DATA_TEST_CASE(UnusedEndpointBecomesDue, boost::unit_test::data::make(kUnusedEndpointCases), row) {
@@ -144,9 +142,8 @@
   for (int i = 0; i < row.m_failures; ++i) unused.Observe(Evidence::kFailed, 0, clock.Now(), clock.Now());
   clock.Advance(row.m_unused);
   const PlacementState used = HealthyEndpoint(clock.Now());
-  const PlacementState::Need filing{false, row.m_probe_likely_gray};
-  BOOST_TEST((unused.Cost(filing, kIdle, clock.Now()) < used.Cost(filing, kIdle, clock.Now())) ==
-             row.m_chosen);
+  BOOST_TEST((unused.Cost(kFilingRepeatable, kIdle, clock.Now()) <
+              used.Cost(kFilingRepeatable, kIdle, clock.Now())) == row.m_chosen);
 }
 
 BOOST_AUTO_TEST_CASE(LongestUnusedEndpointGoesFirst) {
@@ -156,7 +153,8 @@
   const PlacementState shorter = HealthyEndpoint(clock.Now());
   clock.Advance(seconds(2));
   // The longest unused endpoint is chosen although its evidence is older.
-  BOOST_TEST(longest.Cost(kFiling, kIdle, clock.Now()) < shorter.Cost(kFiling, kIdle, clock.Now()));
+  BOOST_TEST(longest.Cost(kFilingRepeatable, kIdle, clock.Now()) <
+             shorter.Cost(kFilingRepeatable, kIdle, clock.Now()));
 }
 
 BOOST_AUTO_TEST_CASE(ResponsesToOlderAttemptsDontClearAFailure) {
@@ -177,12 +175,20 @@
 BOOST_AUTO_TEST_CASE(ColdEndpointIsAvoidedForNonRepeatableRequests) {
   ManualClock clock;
   const PlacementState warm = HealthyEndpoint(clock.Now());
-  PlacementState cold;
-  cold.SetWarmAt(clock.Now() + seconds(3));
+  PlacementState unused;
+  unused.SetWarmAt(clock.Now() + seconds(3));
+  PlacementState cold = unused;
+  cold.RecordUse(clock.Now());
   const PlacementState::Load idle{0, 2, 0};
-  BOOST_TEST(cold.Cost(kFiling, idle, clock.Now()) > warm.Cost(kFiling, idle, clock.Now()));
-  clock.Advance(seconds(4));
-  BOOST_TEST(cold.Cost(kFiling, idle, clock.Now()) < warm.Cost(kFiling, idle, clock.Now()));
+  BOOST_TEST(cold.Cost(kFilingRepeatable, idle, clock.Now()) >
+             warm.Cost(kFilingRepeatable, idle, clock.Now()));
+  // It is due like any other endpoint, because the floor holds for all of them.
+  clock.Advance(milliseconds(1600));
+  BOOST_TEST(cold.Cost(kFilingRepeatable, idle, clock.Now()) <
+             HealthyEndpoint(clock.Now()).Cost(kFilingRepeatable, idle, clock.Now()));
+  clock.Advance(milliseconds(2400));
+  BOOST_TEST(unused.Cost(kFilingRepeatable, idle, clock.Now()) <
+             warm.Cost(kFilingRepeatable, idle, clock.Now()));
 }
 
 BOOST_AUTO_TEST_CASE(RetriesOfAnyWindowStayWithinTheBudget) {
