Try ejected endpoints as often as others that are probably in a gray failure

Cause: an ejected endpoint gets nothing for 5 s, then 10 s and so on up to 60 s. The bound of ejections is seven tenths of the slots, which is all that FLOOR leaves, and the sound endpoints that it counts are few. Change: where endpoints are chosen by belief, an ejection lasts 3.6 s at most; then the endpoint is tried as a canary. Elsewhere ejections are as long as before.

--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -42,6 +42,7 @@
   ConfigureRetries();
   m_hedges.SetQuantile(m_settings.m_hedge_quantile);
   m_suspects.SetLimit(m_settings.m_quarantine_breaks);
+  m_health.LimitEjectionTime(m_settings.m_by_belief ? kLikelyGraySpreadInterval : Duration::max());
   ApplyEndpoints(m_pool.m_discovered ? m_live_endpoints : PoolEndpoints(set), now);
   for (const auto& name : m_pool.m_endpoints) {
     m_endpoints.SetAdminState(name, set.m_endpoints.at(name).m_admin_state, now);
--- a/fescueramp/dispatch/placement.cc
+++ b/fescueramp/dispatch/placement.cc
@@ -29,9 +29,6 @@
 /// Time without requests after which a healthy endpoint is due: the floor set by operators is checked over
 /// any 2 s.
 constexpr Duration kHealthySpreadInterval = std::chrono::milliseconds(1500);
-/// Time without requests after which an endpoint that is probably in a gray failure is due. A recovered
-/// endpoint counts towards the floor 2 s later and must have got a request within 2 s more.
-constexpr Duration kLikelyGraySpreadInterval = std::chrono::milliseconds(3600);
 
 }  // namespace
 
--- a/fescueramp/dispatch/placement.h
+++ b/fescueramp/dispatch/placement.h
@@ -7,6 +7,10 @@
 
 namespace fescueramp {
 
+/// Time without requests after which an endpoint that is probably in a gray failure is due. A recovered
+/// endpoint counts towards the floor 2 s later and must have got a request within 2 s more.
+inline constexpr Duration kLikelyGraySpreadInterval = std::chrono::milliseconds(3600);
+
 /// Placement state of one endpoint: the probability that attempts fail there and how fast they run.
 ///
 /// Addresses gray failures that last for seconds while other endpoints have free slots. A single failure is
--- a/fescueramp/health/health_monitor.cc
+++ b/fescueramp/health/health_monitor.cc
@@ -213,8 +213,8 @@
   if (now - record.m_state_since > m_settings.m_ejection_count_reset_time) record.m_ejections = 0;
   // Each ejection soon after another doubles the ejection time, so that flapping endpoints stay out longer.
   record.m_ejection_time =
-      std::min(m_settings.m_max_ejection_time,
-               m_settings.m_base_ejection_time * (1 << std::min<std::int64_t>(record.m_ejections, 8)));
+      std::min({m_settings.m_max_ejection_time, m_ejection_time_limit,
+                m_settings.m_base_ejection_time * (1 << std::min<std::int64_t>(record.m_ejections, 8))});
   ++record.m_ejections;
   record.m_canary_successes = 0;
   record.m_reason = std::move(reason);
--- a/fescueramp/health/health_monitor.h
+++ b/fescueramp/health/health_monitor.h
@@ -124,6 +124,9 @@
   /// @param floor Share of all slots that ejections must leave in service, 0 to 1.
   void Configure(const std::map<std::string, std::int64_t>& slots, double floor);
 
+  /// Limits the length of ejections that begin from now on, for services whose endpoints must all be tried.
+  void LimitEjectionTime(Duration limit) { m_ejection_time_limit = limit; }
+
   /// Takes an endpoint out of service or back into service, as set by an operator or by the endpoint itself.
   void SetInService(const std::string& endpoint, bool in_service);
 
@@ -175,6 +178,7 @@
                                            Instant now);
 
   HealthSettings m_settings;
+  Duration m_ejection_time_limit = Duration::max();
   double m_floor = 0.5;
   Tally m_all_errors;  ///< Errors of all endpoints.
   Tally m_all_slow;    ///< Slow responses of all endpoints.
--- a/unit_tests/adverse_load_test.cc
+++ b/unit_tests/adverse_load_test.cc
@@ -178,6 +178,31 @@
   BOOST_TEST(lowest >= kFloor);
 }
 
+BOOST_AUTO_TEST_CASE(EjectedEndpointsAreTriedAsOftenAsOthersInDoubt) {
+  // Guards against endpoints without requests for the whole time of their ejections, which doubles.
+  LoadPattern pattern;
+  pattern.m_endpoints = 20;
+  pattern.m_slots = 2;
+  pattern.m_repeatable = true;
+  pattern.m_seconds = 60;
+  pattern.m_arrivals_per_s = [](double) { return 60; };
+  pattern.m_mode = [](int endpoint, double) {
+    return endpoint < 2 ? EndpointMode::kResets : EndpointMode::kHealthy;
+  };
+  LoadSimulator simulator(pattern);
+  const LoadResult result = simulator.Run();
+  BOOST_TEST(result.m_violations.empty());
+  BOOST_TEST(simulator.Ejections() > 2);
+  for (const int endpoint : {0, 1}) {
+    double longest_pause = 0;
+    const std::vector<double>& starts = result.m_starts.at(endpoint);
+    for (std::size_t i = 1; i < starts.size(); ++i)
+      longest_pause = std::max(longest_pause, starts[i] - starts[i - 1]);
+    // An endpoint counts as sound 2 s after a failure and must get a request within 2 s more.
+    BOOST_TEST(longest_pause <= 4);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(HangLikelihoodFollowsServiceTimes) {
   ServiceTimeModel times;
   for (int i = 0; i < 200; ++i) times.AddResponse("work", milliseconds(i % 30 == 0 ? 700 : 100));
