--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -414,11 +414,12 @@
   m_metrics.SetGauge("journal_records", static_cast<double>(m_journal.Size()));
   m_metrics.SetGauge("caller_connections", static_cast<double>(m_caller_server->Connections()));
   double queued = 0;
+  std::vector<DispatcherLoad> loads;
   for (const auto& [service, dispatcher] : m_reducer.Dispatchers()) {
-    const DispatcherLoad load = dispatcher->Load(m_clock.Now());
-    queued += static_cast<double>(load.m_queued);
-    m_metrics.SetDispatcherLoad(load);
+    loads.push_back(dispatcher->Load(m_clock.Now()));
+    queued += static_cast<double>(loads.back().m_queued);
   }
+  m_metrics.SetDispatcherLoads(loads);
   m_metrics.SetGauge("queued", queued);
 }
 
--- a/fescueramp/daemon/node_metrics.cc
+++ b/fescueramp/daemon/node_metrics.cc
@@ -77,17 +77,23 @@
   m_gauges.Add({{"name", name}}).Set(value);
 }
 
-void NodeMetrics::SetDispatcherLoad(const DispatcherLoad& load) {
-  const std::string& service = BoundedLabel(m_services, load.m_service);
-  const auto set = [&](const char* name, double value) {
-    m_dispatcher_gauges.Add({{"service", service}, {"name", name}}).Set(value);
-  };
-  set("queued", static_cast<double>(load.m_queued));
-  set("running", static_cast<double>(load.m_running));
-  set("endpoints", static_cast<double>(load.m_endpoints));
-  set("endpoints_used", static_cast<double>(load.m_endpoints_used));
-  set("endpoints_avoided", static_cast<double>(load.m_endpoints_avoided));
-  set("unserved_share", load.m_unserved_share);
+void NodeMetrics::SetDispatcherLoads(const std::vector<DispatcherLoad>& loads) {
+  for (prometheus::Gauge* gauge : m_listed_dispatcher_gauges) m_dispatcher_gauges.Remove(gauge);
+  m_listed_dispatcher_gauges.clear();
+  for (const DispatcherLoad& load : loads) {
+    const std::string& service = BoundedLabel(m_services, load.m_service);
+    const auto set = [&](const char* name, double value) {
+      prometheus::Gauge& gauge = m_dispatcher_gauges.Add({{"service", service}, {"name", name}});
+      gauge.Set(value);
+      m_listed_dispatcher_gauges.insert(&gauge);
+    };
+    set("queued", static_cast<double>(load.m_queued));
+    set("running", static_cast<double>(load.m_running));
+    set("endpoints", static_cast<double>(load.m_endpoints));
+    set("endpoints_used", static_cast<double>(load.m_endpoints_used));
+    set("endpoints_avoided", static_cast<double>(load.m_endpoints_avoided));
+    set("unserved_share", load.m_unserved_share);
+  }
 }
 
 std::string NodeMetrics::Text() const { return prometheus::TextSerializer().Serialize(m_registry.Collect()); }
--- a/fescueramp/daemon/node_metrics.h
+++ b/fescueramp/daemon/node_metrics.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <vector>
 
 #include "fescueramp/core/time.h"
 #include "fescueramp/dispatch/dispatcher.h"
@@ -44,8 +45,8 @@
   /// Sets a gauge by name, such as a queue length or the number of store calls.
   void SetGauge(const std::string& name, double value);
 
-  /// Sets the gauges of the dispatcher of a service or a part of one.
-  void SetDispatcherLoad(const DispatcherLoad& load);
+  /// Sets the gauges of this node's dispatchers and removes those of dispatchers that are not listed.
+  void SetDispatcherLoads(const std::vector<DispatcherLoad>& loads);
 
   /// All metrics in the Prometheus text format.
   std::string Text() const;
@@ -62,6 +63,7 @@
   prometheus::Family<prometheus::Counter>& m_member_changes;
   prometheus::Family<prometheus::Gauge>& m_gauges;
   prometheus::Family<prometheus::Gauge>& m_dispatcher_gauges;
+  std::set<prometheus::Gauge*> m_listed_dispatcher_gauges;
   std::set<std::string> m_classes;
   std::set<std::string> m_groups;
   std::set<std::string> m_services;
