Read and log the request limit that an endpoint states in its responses

Change: the dialects read the limit into EndpointStatement, from responses of the endpoint to this request only; attempt_ended lines show it, values that can't be read are counted. Nothing acts on it yet.

--- a/fescueramp/core/text.cc
+++ b/fescueramp/core/text.cc
@@ -30,6 +30,14 @@
   return std::nullopt;
 }
 
+std::optional<double> ParseDecimal(std::string_view text) {
+  double value = 0;
+  const char* end = text.data() + text.size();
+  const auto [parsed, error] = std::from_chars(text.data(), end, value, std::chars_format::fixed);
+  const bool valid = error == std::errc{} && parsed == end && std::isfinite(value) && !std::signbit(value);
+  return valid ? std::optional(value) : std::nullopt;
+}
+
 std::optional<SocketAddress> ParseSocketAddress(std::string_view text) {
   const std::size_t colon = text.rfind(':');
   if (colon == std::string_view::npos || colon == 0) return std::nullopt;
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -142,6 +142,8 @@
                           {"status", result.m_status},
                           {"latency_ms", result.m_latency.count() / 1000},
                           {"idle_ms", result.m_idle.count() / 1000},
+                          {"statement", EnumName(result.m_statement.m_kind)},
+                          {"limit_per_s", ToJson(result.m_statement.m_limit_per_s)},
                           {"waited_ms", (record.m_decided - record.m_arrival).count() / 1000},
                           {"rule", EnumName(record.m_rule)},
                           {"doubt_permille", record.m_doubt_permille},
@@ -309,6 +311,9 @@
   if (response_reader.SkippedResponses() > 0) m_context.m_metrics->RecordAttempt("foreign_answer");
   result.m_status = attempt->m_response_head.m_status;
   result.m_draining = response_info.m_leaving;
+  result.m_statement = response_info.m_statement;
+  if (result.m_statement.m_kind == StatementKind::kMalformed)
+    m_context.m_metrics->RecordAttempt("malformed_statement");
   attempt->m_keep_alive_ms = response_info.m_idle_ms;
   switch (response_info.m_kind) {
     case ResponseKind::kShed:
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -8,6 +8,7 @@
 #include "fescueramp/config/service_part.h"
 #include "fescueramp/core/result_code.h"
 #include "fescueramp/core/time.h"
+#include "fescueramp/dispatch/endpoint_statement.h"
 #include "fescueramp/health/health_monitor.h"
 #include "fescueramp/journal/decision_record.h"
 
@@ -119,15 +120,16 @@
   std::string m_part;  ///< Name of the part of the service.
   std::int64_t m_attempt = 0;
   AttemptOutcome m_outcome = AttemptOutcome::kResponded;
-  std::int64_t m_status = 0;      ///< HTTP status of the response; 0 if there is none.
-  Duration m_latency{};           ///< From sending the request to the end of the response.
-  bool m_body_replayable = true;  ///< Whether the request body can be sent again.
-  bool m_answer_started = false;  ///< Whether part of the response was already forwarded to the caller.
-  bool m_draining = false;        ///< Whether the endpoint reported that it is leaving.
-  Duration m_idle{};              ///< Idle time of the connection before the attempt; 0 for a new one.
+  std::int64_t m_status = 0;           ///< HTTP status of the response; 0 if there is none.
+  Duration m_latency{};                ///< From sending the request to the end of the response.
+  bool m_body_replayable = true;       ///< Whether the request body can be sent again.
+  bool m_answer_started = false;       ///< Whether part of the response was already forwarded to the caller.
+  bool m_draining = false;             ///< Whether the endpoint reported that it is leaving.
+  Duration m_idle{};                   ///< Idle time of the connection before the attempt; 0 for a new one.
+  EndpointStatement m_statement = {};  ///< From the head of the response, whether or not its body is whole.
 };
 BOOST_DESCRIBE_STRUCT(AttemptResult, (),
                       (m_request_id, m_part, m_attempt, m_outcome, m_status, m_latency, m_body_replayable,
-                       m_answer_started, m_draining, m_idle))
+                       m_answer_started, m_draining, m_idle, m_statement))
 
 }  // namespace fescueramp
--- /dev/null
+++ b/fescueramp/dispatch/endpoint_statement.h
@@ -0,0 +1,31 @@
+#pragma once
+
+#include <boost/describe.hpp>
+#include <cstdint>
+#include <optional>
+
+#include "fescueramp/core/enum_table.h"
+
+namespace fescueramp {
+
+/// Whether a response states something about its endpoint.
+enum class StatementKind {
+  kNone,       ///< No response of the endpoint was read.
+  kValid,      ///< The response holds for `EndpointStatement`; an absent field means that nothing is stated.
+  kMalformed,  ///< The response has a field with a value that can't be read.
+};
+
+template <>
+struct EnumTable<StatementKind> {
+  static constexpr std::array<std::string_view, 3> kNames = {"none", "valid", "malformed"};
+};
+
+/// What an endpoint states about itself in a response.
+struct EndpointStatement {
+  StatementKind m_kind = StatementKind::kNone;
+  /// Requests a second that the endpoint takes from all hosts together; nothing if it states no limit.
+  std::optional<double> m_limit_per_s;
+};
+BOOST_DESCRIBE_STRUCT(EndpointStatement, (), (m_kind, m_limit_per_s))
+
+}  // namespace fescueramp
--- a/fescueramp/net/dialect.h
+++ b/fescueramp/net/dialect.h
@@ -5,6 +5,7 @@
 
 #include "fescueramp/core/result_code.h"
 #include "fescueramp/core/time.h"
+#include "fescueramp/dispatch/endpoint_statement.h"
 #include "fescueramp/net/http_types.h"
 
 namespace fescueramp {
@@ -40,8 +41,15 @@
   ResponseKind m_kind = ResponseKind::kCompleted;
   bool m_leaving = false;      ///< Whether the endpoint is draining and takes no new work.
   std::int64_t m_idle_ms = 0;  ///< Idle time until the endpoint closes a connection, ms; 0 when unknown.
+  /// Set only if the response belongs to the request and its endpoint.
+  EndpointStatement m_statement;
 };
 
+/// Reads what a response states about its endpoint.
+/// @param limit_field Name of the field with the request limit, in lower case.
+EndpointStatement ReadEndpointStatement(const std::vector<HeaderField>& headers,
+                                        std::string_view limit_field);
+
 /// HTTP header fields and statuses used between callers, nodes and endpoints.
 class Dialect {
  public:
--- a/fescueramp/net/native_dialect.cc
+++ b/fescueramp/net/native_dialect.cc
@@ -27,6 +27,7 @@
     return info;
   }
   info.m_leaving = !FindHeader(head.m_headers, "endpoint-draining").empty();
+  info.m_statement = ReadEndpointStatement(head.m_headers, "endpoint-limit");
   const bool shed =
       head.m_status == kServiceUnavailable && !FindHeader(head.m_headers, "endpoint-shed").empty();
   if (shed)
--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -231,6 +231,61 @@
   BOOST_CHECK(PlatformDialect().ClassifyResponse(metadata, row.m_head).m_kind == row.m_kind);
 }
 
+/// Header fields of a response and the request limit that is read from them.
+struct LimitCase {
+  const char* m_name;
+  ResponseHead m_head;
+  StatementKind m_kind;
+  std::optional<double> m_limit_per_s;
+};
+
+std::ostream& operator<<(std::ostream& out, const LimitCase& row) { return out << row.m_name; }
+
+ResponseHead MakeLimitHead(const std::string& value) {
+  return MakeHead(200, {kOwnId, kSealed, {"Server-Limit", value}});
+}
+
+const LimitCase kLimitCases[] = {
+    {"no limit", MakeHead(200, {kOwnId, kSealed}), StatementKind::kValid, {}},
+    {"whole number", MakeLimitHead("3"), StatementKind::kValid, 3},
+    {"fraction", MakeLimitHead("1.7"), StatementKind::kValid, 1.7},
+    {"zero", MakeLimitHead("0"), StatementKind::kValid, 0},
+    {"with a refusal", MakeHead(503, {kOwnId, kNotExecuted, {"server-limit", "2"}}), StatementKind::kValid,
+     2},
+    {"with an error", MakeHead(500, {kOwnId, kSealed, {"Server-Limit", "2"}}), StatementKind::kValid, 2},
+    {"empty", MakeLimitHead(""), StatementKind::kMalformed, {}},
+    {"no number", MakeLimitHead("few"), StatementKind::kMalformed, {}},
+    {"negative", MakeLimitHead("-1"), StatementKind::kMalformed, {}},
+    {"negative zero", MakeLimitHead("-0"), StatementKind::kMalformed, {}},
+    {"infinite", MakeLimitHead("inf"), StatementKind::kMalformed, {}},
+    {"not a number", MakeLimitHead("nan"), StatementKind::kMalformed, {}},
+    {"exponent", MakeLimitHead("1e3"), StatementKind::kMalformed, {}},
+    {"out of range", MakeLimitHead(std::string(400, '9')), StatementKind::kMalformed, {}},
+    {"trailing text", MakeLimitHead("2/s"), StatementKind::kMalformed, {}},
+    {"two values",
+     MakeHead(200, {kOwnId, kSealed, {"Server-Limit", "2"}, {"Server-Limit", "3"}}),
+     StatementKind::kMalformed,
+     {}},
+    {"response to another request",
+     MakeHead(200, {kOtherId, kSealed, {"Server-Limit", "2"}}),
+     StatementKind::kNone,
+     {}},
+    {"response without a seal", MakeHead(200, {kOwnId, {"Server-Limit", "2"}}), StatementKind::kNone, {}},
+    {"response of another instance",
+     MakeHead(421, {kOwnId, {"Server-Limit", "2"}}),
+     StatementKind::kNone,
+     {}},
+};
+
+BOOST_DATA_TEST_CASE(LimitIsReadOnlyFromResponsesOfTheEndpoint, boost::unit_test::data::make(kLimitCases),
+                     row) {
+  AttemptMetadata metadata;
+  metadata.m_caller_id = "r1";
+  const EndpointStatement statement = PlatformDialect().ClassifyResponse(metadata, row.m_head).m_statement;
+  BOOST_CHECK(statement.m_kind == row.m_kind);
+  BOOST_CHECK(statement.m_limit_per_s == row.m_limit_per_s);
+}
+
 /// A result and its expected HTTP status.
 struct StatusCase {
   ResultCode m_code;
