Reproduce LIMIT: endpoints get more requests than the limit that they state

Cause: not mended yet; nothing reads the stated limit when an endpoint is chosen. Change: a test of four nodes with lost, delayed and reordered datagrams; rows for retries, hedges, endpoints in doubt that are due, several dispatchers, changes of the dispatcher and a restart.

--- /dev/null
+++ b/unit_tests/limit_fleet.cc
@@ -0,0 +1,187 @@
+#include "unit_tests/limit_fleet.h"
+
+#include <algorithm>
+#include <cmath>
+
+#include "unit_tests/discovery_node.h"
+
+namespace fescueramp {
+namespace {
+
+constexpr Duration kStep = std::chrono::milliseconds(10);
+constexpr double kServiceTime = 0.4;  ///< Median service time, seconds.
+constexpr double kSpread = 0.25;      ///< Standard deviation of the logarithm of the service times.
+constexpr int kSlots = 6;
+constexpr std::int64_t kGossipPort = 7000;
+
+int IndexOf(const std::string& endpoint) { return std::stoi(endpoint.substr(2)); }
+
+std::string ObjectSetText() {
+  return R"({"pools":{"work":{"discovered":true,"slots":6}},
+    "services":{"work":{"pool":"work","part_endpoints":1000,"by_belief":true,"hedge_quantile":0.93}},
+    "priorities":{"work":{"rank":0,"max_wait_ms":3600000}},
+    "routes":{"work":{"method":"GET","path_prefix":"/","service":"work","priority":"work",
+                      "max_attempts":2,"target_latency_ms":1500}}})";
+}
+
+}  // namespace
+
+int LimitResult::MaxArrivals(const std::string& endpoint, double window, double from, double until) const {
+  std::vector<double> times;
+  if (const auto arrivals = m_arrivals.find(endpoint); arrivals != m_arrivals.end()) {
+    std::copy_if(arrivals->second.begin(), arrivals->second.end(), std::back_inserter(times),
+                 [&](double time) { return time >= from && time < until; });
+  }
+  int most = 0;
+  for (auto first = times.begin(), last = times.begin(); last != times.end(); ++last) {
+    while (*last - *first >= window) ++first;
+    most = std::max(most, static_cast<int>(last - first) + 1);
+  }
+  return most;
+}
+
+LimitFleet::LimitFleet(LimitPattern pattern) : m_pattern(std::move(pattern)), m_random(m_pattern.m_seed) {
+  m_nodes.resize(static_cast<std::size_t>(m_pattern.m_nodes));
+  for (int node = 0; node < m_pattern.m_nodes; ++node) StartNode(node);
+}
+
+void LimitFleet::StartNode(int node) {
+  const auto make_member = [&](int index) {
+    Member member = DiscoveryNode::Node(index);
+    member.m_gossip_port = kGossipPort + index;
+    member.m_incarnation = m_now.time_since_epoch().count();
+    return member;
+  };
+  NodeSettings settings;
+  settings.m_self = make_member(node);
+  settings.m_claims = false;
+  settings.m_discovery = true;
+  settings.m_random_seed = node + 1;
+  m_nodes[static_cast<std::size_t>(node)] = std::make_unique<NodeReducer>(settings);
+  NodesFound found;
+  for (int i = 0; i < m_pattern.m_nodes; ++i) found.m_members.push_back(make_member(i));
+  EndpointsListed listed{1, {}};
+  for (int i = 0; i < m_pattern.m_endpoints; ++i) {
+    LiveEndpoint endpoint = MakeLiveEndpoint("i-" + std::to_string(i));
+    endpoint.m_slots = kSlots;
+    listed.m_endpoints.push_back(endpoint);
+  }
+  Post(node, found);
+  Post(node, ConfigurationLoaded{1, {ObjectSetText()}});
+  Post(node, listed);
+}
+
+LimitResult LimitFleet::Run() {
+  double pending_arrivals = 0;
+  bool restarted = m_pattern.m_restart_at <= 0;
+  while (Seconds() < m_pattern.m_seconds) {
+    m_now += kStep;
+    while (!m_datagrams.empty() && m_datagrams.begin()->first <= m_now) {
+      const Datagram datagram = m_datagrams.extract(m_datagrams.begin()).mapped();
+      Post(datagram.m_to, datagram.m_event);
+    }
+    while (!m_endings.empty() && m_endings.begin()->first <= m_now) {
+      const EndingAttempt ending = m_endings.extract(m_endings.begin()).mapped();
+      Post(ending.m_node, ending.m_event);
+    }
+    if (!restarted && Seconds() >= m_pattern.m_restart_at) {
+      restarted = true;
+      std::erase_if(m_endings, [](const auto& item) { return item.second.m_node == 0; });
+      StartNode(0);
+    }
+    for (int node = 0; node < m_pattern.m_nodes; ++node) Post(node, Tick{});
+    pending_arrivals += m_pattern.m_arrivals_per_s * ToSeconds(kStep);
+    const std::vector<int> dispatchers = m_pattern.m_dispatchers(Seconds());
+    for (; pending_arrivals >= 1; --pending_arrivals) {
+      Send(dispatchers[static_cast<std::size_t>(m_next_request) % dispatchers.size()]);
+    }
+  }
+  return m_result;
+}
+
+void LimitFleet::Send(int node) {
+  DispatchRequest request;
+  request.m_request_id = "r" + std::to_string(m_next_request++);
+  request.m_service = "work";
+  request.m_route = "work";
+  request.m_class_name = "work";
+  request.m_repeatable = m_pattern.m_repeatable;
+  request.m_fingerprint = static_cast<std::uint64_t>(m_next_request);
+  request.m_deadline = m_now + std::chrono::seconds(4);
+  request.m_max_attempts = 2;
+  request.m_target_latency_ms = 1500;
+  ++m_result.m_requests;
+  m_open_requests[request.m_request_id] = m_now;
+  // Relayed once already, so that the node does not pass it on to the node that it takes for the owner.
+  Post(node, DispatchArrived{request, 1});
+}
+
+void LimitFleet::Post(int node, const Event& event) {
+  for (const Effect& effect : m_nodes[static_cast<std::size_t>(node)]->Reduce(event, m_now)) {
+    if (const auto* start = std::get_if<StartAttempt>(&effect)) Apply(node, *start);
+    if (const auto* gossip = std::get_if<SendGossip>(&effect)) Apply(node, *gossip);
+    if (const auto* finish = std::get_if<FinishRequest>(&effect)) Finish(finish->m_request_id, false);
+    if (const auto* deliver = std::get_if<DeliverResponse>(&effect)) Finish(deliver->m_request_id, true);
+  }
+}
+
+void LimitFleet::Finish(const std::string& request_id, bool served) {
+  const auto open = m_open_requests.find(request_id);
+  if (open == m_open_requests.end()) return;
+  ++(served ? m_result.m_served : m_result.m_refused);
+  if (!served)
+    m_result.m_longest_refusal = std::max(m_result.m_longest_refusal, ToSeconds(m_now - open->second));
+  m_open_requests.erase(open);
+}
+
+AttemptOutcome LimitFleet::DrawOutcome(bool limited) {
+  if (!limited || m_pattern.m_response == LimitedResponse::kSuccess || UniformRandom() < 0.5)
+    return AttemptOutcome::kResponded;
+  switch (m_pattern.m_response) {
+    case LimitedResponse::kHalfErrors:
+      return AttemptOutcome::kServerError;
+    case LimitedResponse::kHalfRefused:
+      return AttemptOutcome::kShed;
+    case LimitedResponse::kHalfBroken:
+      return AttemptOutcome::kBroken;
+    default:
+      return AttemptOutcome::kTimedOut;
+  }
+}
+
+void LimitFleet::Apply(int node, const StartAttempt& effect) {
+  const bool limited = IndexOf(effect.m_endpoint) < m_pattern.m_limited_endpoints;
+  m_result.m_arrivals[effect.m_endpoint].push_back(Seconds());
+  EndingAttempt ending{node, {}};
+  AttemptResult& result = ending.m_event.m_result;
+  result.m_request_id = effect.m_request_id;
+  result.m_part = "work";
+  result.m_attempt = effect.m_attempt;
+  result.m_outcome = DrawOutcome(limited);
+  std::normal_distribution<double> normal;
+  Duration latency = FromSeconds(kServiceTime * std::exp(normal(m_random) * kSpread));
+  if (result.m_outcome == AttemptOutcome::kShed || result.m_outcome == AttemptOutcome::kBroken)
+    latency = kStep;
+  if (result.m_outcome == AttemptOutcome::kTimedOut)
+    latency = std::min<Duration>(effect.m_deadline - m_now, effect.m_progress_timeout);
+  result.m_latency = latency;
+  const bool answers =
+      result.m_outcome != AttemptOutcome::kBroken && result.m_outcome != AttemptOutcome::kTimedOut;
+  if (answers) {
+    const double at = Seconds() + ToSeconds(latency);
+    result.m_statement.m_kind = StatementKind::kValid;
+    if (limited && at >= m_pattern.m_stated_from && at < m_pattern.m_stated_until)
+      result.m_statement.m_limit_per_s = m_pattern.m_limit_per_s;
+  }
+  m_endings.emplace(m_now + latency, ending);
+}
+
+void LimitFleet::Apply(int node, const SendGossip& effect) {
+  const int to = static_cast<int>(effect.m_port - kGossipPort);
+  if (to < 0 || to >= m_pattern.m_nodes || UniformRandom() < m_pattern.m_datagram_loss) return;
+  const GossipReceived event{DiscoveryNode::Node(node).m_address, kGossipPort + node, effect.m_message};
+  m_datagrams.emplace(m_now + FromSeconds(ToSeconds(m_pattern.m_datagram_delay) * UniformRandom()),
+                      Datagram{to, event});
+}
+
+}  // namespace fescueramp
--- /dev/null
+++ b/unit_tests/limit_fleet.h
@@ -0,0 +1,97 @@
+#pragma once
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <vector>
+
+#include "fescueramp/node/node_reducer.h"
+
+namespace fescueramp {
+
+/// How endpoints with a limit respond to the requests that they get.
+enum class LimitedResponse {
+  kSuccess,
+  kHalfErrors,   ///< Half of the requests run and fail.
+  kHalfRefused,  ///< Half of the requests are refused and not run.
+  kHalfBroken,   ///< Half of the connections break.
+  kHalfHanging,  ///< Half of the requests get no response until their deadline.
+};
+
+/// Load on the endpoints of one service, some of which state a request limit.
+struct LimitPattern {
+  int m_nodes = 4;
+  int m_endpoints = 8;
+  int m_limited_endpoints = 2;
+  double m_limit_per_s = 4;
+  double m_arrivals_per_s = 40;
+  double m_stated_from = 6;    ///< Time from which the limit is stated, seconds.
+  double m_stated_until = 26;  ///< Time from which responses state no limit, seconds.
+  double m_seconds = 32;
+  bool m_repeatable = true;
+  LimitedResponse m_response = LimitedResponse::kSuccess;
+  /// Nodes that dispatch requests at a time in seconds; requests are spread over them.
+  std::function<std::vector<int>(double)> m_dispatchers = [](double) { return std::vector<int>{0}; };
+  double m_restart_at = 0;       ///< Time at which node 0 restarts and loses its state, seconds; 0: never.
+  double m_datagram_loss = 0.1;  ///< Share of datagrams between nodes that are lost.
+  Duration m_datagram_delay = std::chrono::milliseconds(40);  ///< Longest delay; datagrams may be reordered.
+  unsigned m_seed = 1;
+};
+
+/// What the endpoints of a LimitFleet saw.
+struct LimitResult {
+  std::map<std::string, std::vector<double>> m_arrivals;  ///< Times of requests by endpoint, seconds.
+  int m_requests = 0;
+  int m_served = 0;
+  int m_refused = 0;
+  double m_longest_refusal = 0;   ///< Longest time from arrival to refusal, seconds.
+  std::size_t m_limit_bytes = 0;  ///< Bytes of statements in datagrams between nodes.
+
+  /// Largest number of requests, of all nodes together, that an endpoint got within `window` seconds from
+  /// `from` to `until`.
+  int MaxArrivals(const std::string& endpoint, double window, double from, double until) const;
+};
+
+/// Runs NodeReducers with one clock, models of endpoints that state limits, and datagrams that are lost,
+/// delayed and reordered. Deterministic for a seed.
+class LimitFleet {
+ public:
+  explicit LimitFleet(LimitPattern pattern);
+  LimitResult Run();
+
+ private:
+  struct EndingAttempt {
+    int m_node = 0;
+    AttemptEnded m_event;
+  };
+  struct Datagram {
+    int m_to = 0;
+    GossipReceived m_event;
+  };
+
+  double Seconds() const { return ToSeconds(m_now - m_start); }
+  double UniformRandom() { return std::generate_canonical<double, 32>(m_random); }
+  void StartNode(int node);
+  void Post(int node, const Event& event);
+  void Send(int node);
+  void Apply(int node, const StartAttempt& effect);
+  void Apply(int node, const SendGossip& effect);
+  void Finish(const std::string& request_id, bool served);
+  AttemptOutcome DrawOutcome(bool limited);
+
+  LimitPattern m_pattern;
+  Instant m_now{std::chrono::seconds(1'700'000'000)};
+  Instant m_start = m_now;
+  std::mt19937 m_random;
+  std::vector<std::unique_ptr<NodeReducer>> m_nodes;
+  std::multimap<Instant, EndingAttempt> m_endings;
+  std::multimap<Instant, Datagram> m_datagrams;
+  std::map<std::string, Instant> m_open_requests;  ///< Arrival times by request id.
+  int m_next_request = 0;
+  LimitResult m_result;
+};
+
+}  // namespace fescueramp
--- /dev/null
+++ b/unit_tests/request_limit_test.cc
@@ -0,0 +1,81 @@
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "unit_tests/limit_fleet.h"
+
+namespace fescueramp {
+namespace {
+
+BOOST_AUTO_TEST_SUITE(request_limit)
+
+std::vector<int> OneDispatcher(double) { return {0}; }
+std::vector<int> TwoDispatchers(double) { return {0, 1}; }
+std::vector<int> ThreeDispatchers(double) { return {0, 1, 2}; }
+std::vector<int> DispatcherChangesOnce(double time) { return {time < 14 ? 0 : 1}; }
+std::vector<int> DispatcherChangesOften(double time) { return {static_cast<int>(time / 1.5) % 3}; }
+std::vector<int> DispatchersOverlap(double time) {
+  return time < 12 ? std::vector<int>{0} : (time < 16 ? std::vector<int>{0, 1} : std::vector<int>{1});
+}
+
+/// A load on endpoints that state a limit, and who dispatches it.
+struct LimitLoadCase {
+  const char* m_name;
+  double m_limit_per_s;
+  LimitedResponse m_response;
+  bool m_repeatable;
+  std::vector<int> (*m_dispatchers)(double);
+  double m_restart_at;
+  int m_limited_endpoints;
+};
+
+std::ostream& operator<<(std::ostream& out, const LimitLoadCase& row) { return out << row.m_name; }
+
+const LimitLoadCase kLimitLoadCases[] = {
+    {"one dispatcher", 4, LimitedResponse::kSuccess, true, OneDispatcher, 0, 2},
+    {"low limit", 0.4, LimitedResponse::kSuccess, true, OneDispatcher, 0, 2},
+    {"limit of zero", 0, LimitedResponse::kSuccess, true, OneDispatcher, 0, 2},
+    {"non-repeatable requests", 4, LimitedResponse::kSuccess, false, OneDispatcher, 0, 2},
+    {"all endpoints limited", 2, LimitedResponse::kSuccess, false, OneDispatcher, 0, 8},
+    {"retries and hedges after errors", 2, LimitedResponse::kHalfErrors, true, OneDispatcher, 0, 8},
+    {"refusals", 2, LimitedResponse::kHalfRefused, true, OneDispatcher, 0, 2},
+    {"broken connections, endpoints in doubt are due", 0.1, LimitedResponse::kHalfBroken, true, OneDispatcher,
+     0, 2},
+    {"hanging requests, endpoints in doubt are due", 0.1, LimitedResponse::kHalfHanging, true, OneDispatcher,
+     0, 2},
+    {"two dispatchers at once", 4, LimitedResponse::kSuccess, true, TwoDispatchers, 0, 2},
+    {"three dispatchers at once", 4, LimitedResponse::kSuccess, true, ThreeDispatchers, 0, 2},
+    {"another dispatcher takes over", 4, LimitedResponse::kSuccess, true, DispatcherChangesOnce, 0, 2},
+    {"the old dispatcher goes on for 4 s", 4, LimitedResponse::kSuccess, true, DispatchersOverlap, 0, 2},
+    {"the dispatcher changes every 1.5 s", 4, LimitedResponse::kSuccess, true, DispatcherChangesOften, 0, 2},
+    {"the dispatcher restarts", 4, LimitedResponse::kSuccess, true, OneDispatcher, 14, 2},
+};
+
+BOOST_DATA_TEST_CASE(EndpointGetsNoMoreThanItsLimitAllows,
+                     boost::unit_test::data::make(kLimitLoadCases) * boost::unit_test::data::xrange(1, 4),
+                     row, seed) {
+  LimitPattern pattern;
+  pattern.m_limit_per_s = row.m_limit_per_s;
+  pattern.m_response = row.m_response;
+  pattern.m_repeatable = row.m_repeatable;
+  pattern.m_dispatchers = row.m_dispatchers;
+  pattern.m_restart_at = row.m_restart_at;
+  pattern.m_limited_endpoints = row.m_limited_endpoints;
+  pattern.m_seed = static_cast<unsigned>(seed);
+  const LimitResult result = LimitFleet(pattern).Run();
+  // In 4 s, one and a half times the limit plus 5, from 3 s after it was first stated.
+  const double allowed = row.m_limit_per_s * 4 * 1.5 + 5;
+  for (int i = 0; i < row.m_limited_endpoints; ++i) {
+    const std::string endpoint = "i-" + std::to_string(i);
+    const double from = pattern.m_stated_from + 3;
+    const int most = result.MaxArrivals(endpoint, 4, from, pattern.m_stated_until);
+    BOOST_TEST_MESSAGE(row.m_name << ", " << endpoint << ": " << most << " requests in 4 s, allowed "
+                                  << allowed);
+    BOOST_TEST(most <= allowed);
+  }
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace fescueramp
