Keep to the request limits that endpoints state

Callers saw: endpoints in need, which had said so, got 5 to 14 requests a second at a limit of 1.1 and became slower. Cause: endpoints were chosen by slots, load and belief only; no part of the fleet read the limit. Change: RequestLimits holds the limits that a node knows and one pace per endpoint. Every attempt takes it where its slot is chosen, so first attempts, retries, hedges, canaries, and trials of endpoints that are due can't pass it, nor can a dispatcher that is closed and opened again. A limit ends only by a response to a request that was sent after the limit was received. Limited endpoints count as capacity with what their limit keeps busy. Log line endpoint_limit, gauge endpoints_limited, limit in the status. New and passing: the share returns when the limit ends; above all limits requests are refused at once (this one passes without the change of the capacity too, as queues are measured); 10 rows of OlderStatementNeverRaisesALimit.

--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -293,6 +293,13 @@
                                   {"latency_evidence", change.m_latency_evidence}});
 }
 
+void NodeDaemon::RunEffect(const ReportRequestLimit& effect) {
+  m_log.Write("endpoint_limit", {{"endpoint", effect.m_endpoint},
+                                 {"service", effect.m_service},
+                                 {"limit_per_s", ToJson(effect.m_limit_per_s)},
+                                 {"source", effect.m_source}});
+}
+
 void NodeDaemon::RunEffect(const SendGossip& effect) {
   m_gossip->Send(effect.m_address, effect.m_port, effect.m_message);
 }
--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -2,6 +2,7 @@
 
 #include <cstdint>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -14,8 +15,8 @@
 namespace fescueramp {
 
 /// Effects that a dispatcher requests, in order.
-using DispatchEffect =
-    std::variant<StartAttempt, FinishRequest, DeliverResponse, CancelAttempt, ReportHealth>;
+using DispatchEffect = std::variant<StartAttempt, FinishRequest, DeliverResponse, CancelAttempt, ReportHealth,
+                                    ReportRequestLimit>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 /// Load of a dispatcher, for status and metrics.
@@ -31,10 +32,12 @@
   /// Endpoints in service that were not used and are probably in a gray failure.
   std::int64_t m_endpoints_avoided = 0;
   double m_unserved_share = 0;  ///< Share of the requests that ended recently which were not served, 0 to 1.
+  std::int64_t m_endpoints_limited = 0;  ///< Endpoints that state a request limit.
 };
 BOOST_DESCRIBE_STRUCT(DispatcherLoad, (),
                       (m_service, m_queued, m_running, m_slots, m_slots_in_service, m_floor_slots,
-                       m_endpoints, m_endpoints_used, m_endpoints_avoided, m_unserved_share))
+                       m_endpoints, m_endpoints_used, m_endpoints_avoided, m_unserved_share,
+                       m_endpoints_limited))
 
 /// State of one endpoint, for status.
 struct EndpointStatus {
@@ -49,10 +52,12 @@
   std::int64_t m_ejections = 0;
   std::string m_reason;
   double m_doubt = 0;  ///< Gray-failure probability of the endpoint, 0 to 1.
+  std::optional<double>
+      m_limit_per_s;  ///< Requests a second that it takes from all hosts; nothing: no limit.
 };
 BOOST_DESCRIBE_STRUCT(EndpointStatus, (),
                       (m_endpoint, m_state, m_in_service, m_busy, m_usable_slots, m_error_rate,
-                       m_error_evidence, m_latency_evidence, m_ejections, m_reason, m_doubt))
+                       m_error_evidence, m_latency_evidence, m_ejections, m_reason, m_doubt, m_limit_per_s))
 
 /// Queues the requests of one service and chooses when and where each runs.
 /// Deterministic: the same calls give the same effects.
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <cassert>
 #include <cmath>
+#include <limits>
 
 namespace fescueramp {
 namespace {
@@ -75,11 +76,27 @@
   for (const auto& [name, state] : m_slots) {
     if (state.m_backoff_until > now) continue;
     const std::int64_t reliable = AllowedSlots(state, kMaxCountedGrayProbability, now);
-    m_reliable_slots += reliable;
-    m_responsive_slots += std::max<std::int64_t>(0, reliable - state.m_hung);
+    const std::int64_t responsive = std::max<std::int64_t>(0, reliable - state.m_hung);
+    const double within_limit = SlotsWithinLimit(state);
+    m_reliable_slots += std::min(static_cast<double>(reliable), within_limit);
+    m_responsive_slots += std::min(static_cast<double>(responsive), within_limit);
   }
 }
 
+double EndpointTable::SlotsWithinLimit(const Slots& state) const {
+  const auto limit = m_limits->LimitOf(state.m_name);
+  const double service_time = m_times.MeanServiceTime();
+  if (!limit || service_time <= 0) return std::numeric_limits<double>::infinity();
+  return *limit * service_time;
+}
+
+bool EndpointTable::ApplyStatement(const std::string& endpoint, const EndpointStatement& statement,
+                                   Instant started, Instant now) {
+  const auto found = m_slots.find(endpoint);
+  if (found == m_slots.end()) return false;
+  return m_limits->Observe(endpoint, found->second.m_started_ms, statement, started, now);
+}
+
 EndpointCoverage EndpointTable::Coverage(Instant now) const {
   EndpointCoverage coverage;
   for (const auto& [name, state] : m_slots) {
@@ -115,7 +132,7 @@
 }
 
 bool EndpointTable::Meets(const Slots& state, const Need& need, Instant now) const {
-  if (state.m_backoff_until > now) return false;
+  if (state.m_backoff_until > now || !m_limits->MaySend(state.m_name, now)) return false;
   if (need.m_alone && state.m_busy > 0) return false;
   if (need.m_avoid && need.m_avoid->contains(state.m_name)) return false;
   if (!need.m_canary && m_health.State(state.m_name) == HealthState::kCanary) return false;
@@ -178,6 +195,7 @@
   state.m_exclusive = exclusive;
   state.m_last_used = ++m_use_counter;
   state.m_placement.RecordUse(now);
+  m_limits->RecordSend(state.m_name, now);
   state.m_running.emplace(m_use_counter, Running{now, route, false});
   Reindex(state);
   return m_use_counter;
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -3,6 +3,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -12,6 +13,7 @@
 #include "fescueramp/core/time.h"
 #include "fescueramp/dispatch/endpoint_coverage.h"
 #include "fescueramp/dispatch/placement.h"
+#include "fescueramp/dispatch/request_limits.h"
 #include "fescueramp/health/health_monitor.h"
 #include "fescueramp/health/service_time_model.h"
 
@@ -67,8 +69,9 @@
     const std::set<std::string>* m_avoid = nullptr;  ///< Endpoints that failed the request before.
   };
 
-  EndpointTable(HealthMonitor& health, std::string own_zone)
-      : m_health(health), m_own_zone(std::move(own_zone)) {}
+  /// @param limits Request limits of endpoints, shared by the dispatchers of one node.
+  EndpointTable(HealthMonitor& health, std::string own_zone, std::shared_ptr<RequestLimits> limits)
+      : m_health(health), m_own_zone(std::move(own_zone)), m_limits(std::move(limits)) {}
 
   /// Sets the endpoints, which are listed in a pool or announced themselves. Endpoints already in the table
   /// keep their state.
@@ -94,6 +97,14 @@
   void Observe(const std::string& endpoint, Evidence evidence, double relative_time, Instant started,
                Instant now);
 
+  /// Applies what an endpoint stated in the response to an attempt that started at `started`.
+  /// @return Whether its request limit changed.
+  bool ApplyStatement(const std::string& endpoint, const EndpointStatement& statement, Instant started,
+                      Instant now);
+
+  /// Request limit of an endpoint in requests a second; nothing if it has none.
+  std::optional<double> LimitOf(const std::string& endpoint) const { return m_limits->LimitOf(endpoint); }
+
   /// Records that an attempt which still holds its slot was abandoned or ended without a response.
   void RecordNoResponse(const std::string& endpoint, std::int64_t ticket, Instant now);
 
@@ -131,11 +142,12 @@
   /// Recomputes the usable slots of every endpoint after a change of health or time.
   void Refresh(Instant now);
 
-  /// Slots, busy ones included, of endpoints that are probably not in a gray failure.
-  std::int64_t ReliableSlots() const { return m_reliable_slots; }
+  /// Slots, busy ones included, of endpoints that are probably not in a gray failure. An endpoint with a
+  /// request limit counts with as many slots as requests at that rate keep busy.
+  double ReliableSlots() const { return m_reliable_slots; }
 
   /// Reliable slots without those held by attempts that are probably hanging.
-  std::int64_t ResponsiveSlots() const { return m_responsive_slots; }
+  double ResponsiveSlots() const { return m_responsive_slots; }
 
   /// Usable slots of all endpoints, busy ones included.
   std::int64_t TotalUsable() const { return m_total_usable; }
@@ -171,6 +183,9 @@
   double CostOf(const Slots& slots, const Need& need, Instant now) const;
   void CountReliableSlots(Instant now);
 
+  /// Slots that the requests within an endpoint's limit keep busy on average; infinite without a limit.
+  double SlotsWithinLimit(const Slots& slots) const;
+
   /// Slots that requests which can wait for other endpoints may take, given their maximum gray-failure
   /// probability.
   static std::int64_t AllowedSlots(const Slots& slots, double max_gray_probability, Instant now);
@@ -183,8 +198,9 @@
   ServiceTimeModel m_times;
   std::map<std::string, Slots> m_slots;
   std::set<FreeKey> m_free;
-  std::int64_t m_reliable_slots = 0;  ///< See `ReliableSlots`.
-  std::int64_t m_responsive_slots = 0;
+  std::shared_ptr<RequestLimits> m_limits;
+  double m_reliable_slots = 0;  ///< See `ReliableSlots`.
+  double m_responsive_slots = 0;
   std::int64_t m_total_usable = 0;
   std::int64_t m_total_busy = 0;
   std::int64_t m_use_counter = 0;
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -31,8 +31,11 @@
 }  // namespace
 
 FairDispatcher::FairDispatcher(ServicePart part, std::string node, const std::string& zone,
-                               HealthSettings health)
-    : m_part(std::move(part)), m_node(std::move(node)), m_health(health), m_endpoints(m_health, zone) {}
+                               HealthSettings health, std::shared_ptr<RequestLimits> limits)
+    : m_part(std::move(part)),
+      m_node(std::move(node)),
+      m_health(health),
+      m_endpoints(m_health, zone, limits ? std::move(limits) : std::make_shared<RequestLimits>()) {}
 
 void FairDispatcher::Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) {
   m_table = std::move(table);
@@ -222,7 +225,7 @@
 
 double FairDispatcher::MaxGrayProbability(const Pending& pending, double expected_time, Instant now) const {
   const DispatchRequest& request = pending.m_request;
-  const auto reliable_slots = static_cast<double>(m_endpoints.ReliableSlots());
+  const double reliable_slots = m_endpoints.ReliableSlots();
   if (expected_time <= 0 || reliable_slots == 0) return 1;
   // If the retry fails too, the request ends, so a retry waits as long as there is time.
   const bool retry = pending.m_runs > 0;
@@ -238,7 +241,7 @@
 
 double FairDispatcher::MaxGrayProbabilityForBacklog(const DispatchRequest& request,
                                                     double expected_time) const {
-  const auto reliable_slots = static_cast<double>(m_endpoints.ReliableSlots());
+  const double reliable_slots = m_endpoints.ReliableSlots();
   // A backlog that the reliable endpoints can't process in time may also use the others.
   const double backlog = static_cast<double>(Queued() + 1) * expected_time / reliable_slots;
   const double target = static_cast<double>(request.m_target_latency_ms) / kMillisecondsPerSecond;
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -27,7 +27,10 @@
   /// @param part Service, or part of a service, whose requests it dispatches.
   /// @param node Name of the node, for decision records.
   /// @param zone Availability zone of the node.
-  FairDispatcher(ServicePart part, std::string node, const std::string& zone, HealthSettings health = {});
+  /// @param limits Request limits of endpoints that the node's dispatchers share; the dispatcher's own if
+  /// null.
+  FairDispatcher(ServicePart part, std::string node, const std::string& zone, HealthSettings health = {},
+                 std::shared_ptr<RequestLimits> limits = nullptr);
 
   void Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) override;
   void SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, std::int64_t parts, Instant now,
@@ -183,6 +186,7 @@
                         DispatchEffects& out);
   void FinishFailed(Pending& pending, Instant now, DispatchEffects& out);
   bool MayRetry(const Pending& pending, const AttemptResult& result, Instant now);
+  void ApplyStatement(const Attempt& attempt, const AttemptResult& result, Instant now, DispatchEffects& out);
   void RecordIdleUse(const Attempt& attempt, const AttemptResult& result, Instant now);
   void ObserveHealth(const Pending& pending, const Attempt& attempt, const AttemptResult& result, Instant now,
                      DispatchEffects& out);
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -70,6 +70,7 @@
   if (!attempt) return;
   ClassState& state = ClassOf(attempt->m_class_name);
   --state.m_running;
+  ApplyStatement(*attempt, result, now, out);
   const auto found = m_pending.find(result.m_request_id);
   if (found == m_pending.end()) {
     // The request has ended, so only the slot is released.
@@ -98,6 +99,13 @@
   StartQueued(now, out);
 }
 
+void FairDispatcher::ApplyStatement(const Attempt& attempt, const AttemptResult& result, Instant now,
+                                    DispatchEffects& out) {
+  if (!m_endpoints.ApplyStatement(attempt.m_endpoint, result.m_statement, attempt.m_started, now)) return;
+  out.emplace_back(
+      ReportRequestLimit{PartName(m_part), attempt.m_endpoint, result.m_statement.m_limit_per_s, m_node});
+}
+
 bool FairDispatcher::PathsFailing(Instant now) { return m_paths.Failing(m_endpoints.All().size(), now); }
 
 void FairDispatcher::HandBack(Instant now, DispatchEffects& out) {
--- a/fescueramp/dispatch/fair_dispatcher_queue.cc
+++ b/fescueramp/dispatch/fair_dispatcher_queue.cc
@@ -48,8 +48,8 @@
 
 double FairDispatcher::CapacityPerSecond(double service_time, Instant now) const {
   if (service_time <= 0) return 0;
-  const std::int64_t working = m_endpoints.ResponsiveSlots();
-  const auto slots = static_cast<double>(working > 0 ? working : m_endpoints.TotalUsable());
+  const double working = m_endpoints.ResponsiveSlots();
+  const double slots = working > 0 ? working : static_cast<double>(m_endpoints.TotalUsable());
   const double possible = slots / service_time;
   // While requests are queued, the recent start rate shows the actual capacity.
   const bool measured = m_backlog_since != Instant{} && now - m_backlog_since > kAttemptTimeConstant;
@@ -109,7 +109,7 @@
 
 bool FairDispatcher::RedirectToOtherPart(const Pending& pending, Instant now, DispatchEffects& out) {
   if (!pending.m_request.m_may_move || !m_endpoints_received) return false;
-  const auto reliable_slots = static_cast<double>(m_endpoints.ReliableSlots());
+  const double reliable_slots = m_endpoints.ReliableSlots();
   if (reliable_slots > 0 && static_cast<double>(Queued()) <= reliable_slots * kRedirectBacklog) return false;
   DecisionRecord record = MakeRecord(pending, now);
   record.m_outcome = GetResultInfo(ResultCode::kOtherPart).m_name;
--- a/fescueramp/dispatch/fair_dispatcher_records.cc
+++ b/fescueramp/dispatch/fair_dispatcher_records.cc
@@ -67,6 +67,8 @@
   load.m_endpoints_used = coverage.m_used;
   load.m_endpoints_avoided = coverage.m_avoided;
   load.m_unserved_share = UnservedShare(now);
+  for (const auto& [name, slots] : m_endpoints.All())
+    load.m_endpoints_limited += m_endpoints.LimitOf(name) ? 1 : 0;
   return load;
 }
 
@@ -87,6 +89,7 @@
     status.m_ejections = record.m_ejections;
     status.m_doubt = m_endpoints.GrayProbability(name, now);
     status.m_reason = record.m_reason;
+    status.m_limit_per_s = m_endpoints.LimitOf(name);
     statuses.push_back(std::move(status));
   }
   return statuses;
--- a/fescueramp/health/service_time_model.cc
+++ b/fescueramp/health/service_time_model.cc
@@ -16,6 +16,7 @@
 }  // namespace
 
 void ServiceTimeModel::AddResponse(const std::string& route, Duration latency) {
+  m_mean.Add(ToSeconds(latency));
   if (m_route_models.size() >= kMaxRoutes && !m_route_models.contains(route)) return;
   RouteModel& model = m_route_models[route];
   if (const double mean = model.m_mean.Value(); mean > 0) {
--- a/fescueramp/health/service_time_model.h
+++ b/fescueramp/health/service_time_model.h
@@ -31,6 +31,9 @@
   /// Mean service time of a route in seconds; 0 before the first response.
   double RouteServiceTime(const std::string& route) const;
 
+  /// Mean service time of all routes together in seconds; 0 before the first response.
+  double MeanServiceTime() const { return m_mean.Value(); }
+
   /// Likelihood of no response up to `age` during a gray failure, relative to a healthy endpoint; at least 1.
   /// @param slowness Service time at the endpoint, in multiples of the route's mean service time.
   /// @param gray_failure_rate Share of attempts that fail during a gray failure.
@@ -52,7 +55,8 @@
   static double Survival(const RouteModel& model, double relative_age);
 
   std::map<std::string, RouteModel> m_route_models;
-  double m_hang_share = 0.5;  ///< Share of recent failures without a response.
+  MovingAverage m_mean{0.02};  ///< Service time of any route, seconds.
+  double m_hang_share = 0.5;   ///< Share of recent failures without a response.
 };
 
 }  // namespace fescueramp
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -63,6 +63,7 @@
 
 void NodeReducer::Handle(const Tick&, Instant now) {
   m_membership.Tick(now);
+  m_limits->Expire(now);
   for (auto& [service, dispatcher] : m_dispatchers) {
     DispatchEffects out;
     dispatcher->Tick(now, out);
@@ -191,7 +192,8 @@
       const auto seed = static_cast<std::uint32_t>(m_settings.m_random_seed);
       dispatcher = std::make_unique<BaselineDispatcher>(part.m_service, self.m_node, seed);
     } else {
-      dispatcher = std::make_unique<FairDispatcher>(part, self.m_node, self.m_zone);
+      dispatcher =
+          std::make_unique<FairDispatcher>(part, self.m_node, self.m_zone, HealthSettings{}, m_limits);
     }
     DispatchEffects out;
     dispatcher->Configure(m_table, out, now);
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -9,6 +9,7 @@
 
 #include "fescueramp/claims/claim_log.h"
 #include "fescueramp/dispatch/dispatcher.h"
+#include "fescueramp/dispatch/request_limits.h"
 #include "fescueramp/membership/membership.h"
 #include "fescueramp/node/effects.h"
 #include "fescueramp/node/entry_requests.h"
@@ -162,6 +163,7 @@
   std::map<std::string, RequestClaim> m_claims;                    ///< By request id.
   std::unordered_map<std::string, std::string> m_part_by_request;  ///< Name of the part, by request id.
   std::map<std::string, DispatchRequest> m_relayed;  ///< Requests relayed to the owner, by request id.
+  std::shared_ptr<RequestLimits> m_limits = std::make_shared<RequestLimits>();
   std::vector<LiveEndpoint> m_live_endpoints;
   std::int64_t m_live_endpoints_version = 0;
   std::int64_t m_list_generation = 0;  ///< Number of endpoint lists accepted.
--- a/unit_tests/limit_fleet.cc
+++ b/unit_tests/limit_fleet.cc
@@ -11,6 +11,7 @@
 constexpr Duration kStep = std::chrono::milliseconds(10);
 constexpr double kServiceTime = 0.4;  ///< Median service time, seconds.
 constexpr double kSpread = 0.25;      ///< Standard deviation of the logarithm of the service times.
+constexpr Duration kTarget = std::chrono::milliseconds(1500);
 constexpr int kSlots = 6;
 constexpr std::int64_t kGossipPort = 7000;
 
@@ -109,7 +110,7 @@
   request.m_fingerprint = static_cast<std::uint64_t>(m_next_request);
   request.m_deadline = m_now + std::chrono::seconds(4);
   request.m_max_attempts = 2;
-  request.m_target_latency_ms = 1500;
+  request.m_target_latency_ms = std::chrono::duration_cast<std::chrono::milliseconds>(kTarget).count();
   ++m_result.m_requests;
   m_open_requests[request.m_request_id] = m_now;
   // Relayed once already, so that the node does not pass it on to the node that it takes for the owner.
@@ -129,8 +130,7 @@
   const auto open = m_open_requests.find(request_id);
   if (open == m_open_requests.end()) return;
   ++(served ? m_result.m_served : m_result.m_refused);
-  if (!served)
-    m_result.m_longest_refusal = std::max(m_result.m_longest_refusal, ToSeconds(m_now - open->second));
+  if (!served && m_now - open->second > kTarget / 8) ++m_result.m_slow_refusals;
   m_open_requests.erase(open);
 }
 
--- a/unit_tests/limit_fleet.h
+++ b/unit_tests/limit_fleet.h
@@ -47,7 +47,7 @@
   int m_requests = 0;
   int m_served = 0;
   int m_refused = 0;
-  double m_longest_refusal = 0;   ///< Longest time from arrival to refusal, seconds.
+  int m_slow_refusals = 0;        ///< Refusals that took more than an eighth of the target.
   std::size_t m_limit_bytes = 0;  ///< Bytes of statements in datagrams between nodes.
 
   /// Largest number of requests, of all nodes together, that an endpoint got within `window` seconds from
--- a/unit_tests/request_limit_test.cc
+++ b/unit_tests/request_limit_test.cc
@@ -7,6 +7,8 @@
 namespace fescueramp {
 namespace {
 
+using std::chrono::seconds;
+
 BOOST_AUTO_TEST_SUITE(request_limit)
 
 std::vector<int> OneDispatcher(double) { return {0}; }
@@ -75,6 +77,65 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(EndpointWithoutLimitGetsItsShareAgain) {
+  LimitPattern pattern;
+  pattern.m_limit_per_s = 0.4;
+  pattern.m_seconds = 40;
+  const LimitResult result = LimitFleet(pattern).Run();
+  for (const std::string endpoint : {"i-0", "i-1"}) {
+    BOOST_TEST(result.MaxArrivals(endpoint, 4, 9, pattern.m_stated_until) <= 3);
+    // The demand is 5 requests a second for each endpoint.
+    BOOST_TEST(result.MaxArrivals(endpoint, 4, pattern.m_stated_until + 5, 40) >= 10);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(RequestsAboveAllLimitsAreRefusedAtOnce) {
+  // Guards against requests that wait for slots which the limits of their endpoints keep free.
+  LimitPattern pattern;
+  pattern.m_limited_endpoints = pattern.m_endpoints;
+  pattern.m_limit_per_s = 2;
+  pattern.m_repeatable = false;
+  pattern.m_stated_from = 1;
+  pattern.m_stated_until = 60;
+  const LimitResult result = LimitFleet(pattern).Run();
+  // 16 of 40 requests a second are within the limits.
+  BOOST_TEST(result.m_served >= 14 * 30);
+  BOOST_TEST(result.m_refused >= 20 * 30);
+  BOOST_TEST(result.m_slow_refusals <= 0.25 * result.m_refused);
+}
+
+/// A statement that is received after a limit of 2 requests a second was received at 10 s.
+struct LaterStatementCase {
+  const char* m_name;
+  EndpointStatement m_statement;
+  std::int64_t m_started_ms;
+  int m_sent;  ///< Time at which the request was sent whose response has the statement, seconds.
+  std::optional<double> m_limit_per_s;  ///< Limit in force afterwards.
+};
+
+std::ostream& operator<<(std::ostream& out, const LaterStatementCase& row) { return out << row.m_name; }
+
+const LaterStatementCase kLaterStatements[] = {
+    {"none, to a later request", {StatementKind::kValid, {}}, 1, 11, {}},
+    {"none, to an earlier request", {StatementKind::kValid, {}}, 1, 9, 2},
+    {"higher, to a later request", {StatementKind::kValid, 3}, 1, 11, 3},
+    {"higher, to an earlier request", {StatementKind::kValid, 3}, 1, 9, 2},
+    {"lower, to a later request", {StatementKind::kValid, 1}, 1, 11, 1},
+    {"lower, to an earlier request", {StatementKind::kValid, 1}, 1, 9, 1},
+    {"malformed", {StatementKind::kMalformed, {}}, 1, 11, 2},
+    {"no response", {StatementKind::kNone, {}}, 1, 11, 2},
+    {"none, after a restart of the endpoint", {StatementKind::kValid, {}}, 2, 9, {}},
+    {"higher, after a restart of the endpoint", {StatementKind::kValid, 3}, 2, 9, 3},
+};
+
+BOOST_DATA_TEST_CASE(OlderStatementNeverRaisesALimit, boost::unit_test::data::make(kLaterStatements), row) {
+  const Instant start{seconds(1'700'000'000)};
+  RequestLimits limits;
+  limits.Observe("i-0", 1, {StatementKind::kValid, 2}, start + seconds(9), start + seconds(10));
+  limits.Observe("i-0", row.m_started_ms, row.m_statement, start + seconds(row.m_sent), start + seconds(12));
+  BOOST_CHECK(limits.LimitOf("i-0") == row.m_limit_per_s);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
