Share the limit of an endpoint between the hosts that send to it

Callers saw: with several dispatchers, each within the limit, an endpoint in need got several times what it had stated. Cause: a limit was known only to the host that had received it, and each host took all of it. Change: a node that sends to endpoints with a limit tells the first three nodes of the owner order and the other senders, each second. Senders share the limit; a node that takes over knows it before its first request. Announcements set or lower a limit only, carry the start of the endpoint and a version, and run out after 3 s. The table of announcements has 9 rows.

--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -10,6 +10,7 @@
 #include "fescueramp/config/live_endpoint.h"
 #include "fescueramp/dispatch/dispatch_types.h"
 #include "fescueramp/dispatch/endpoint_coverage.h"
+#include "fescueramp/dispatch/endpoint_limit.h"
 #include "fescueramp/routing/route_table.h"
 
 namespace fescueramp {
@@ -101,6 +102,9 @@
   /// Returns the state of every endpoint.
   virtual std::vector<EndpointStatus> Endpoints(Instant now) const = 0;
 
+  /// Request limits of the endpoints that this dispatcher has lately sent requests to.
+  virtual std::vector<EndpointLimit> LimitsInUse(Instant now) const = 0;
+
   /// Whether network paths from this node to endpoints seem to fail, so that another node may still reach
   /// them.
   virtual bool PathsFailing(Instant now) = 0;
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -90,6 +90,15 @@
   return *limit * service_time;
 }
 
+std::vector<EndpointLimit> EndpointTable::LimitsInUse(Instant now) const {
+  std::vector<EndpointLimit> limits;
+  if (m_limits->Empty()) return limits;
+  for (const auto& [name, state] : m_slots) {
+    if (auto limit = m_limits->ToAnnounce(name, now)) limits.push_back(std::move(*limit));
+  }
+  return limits;
+}
+
 bool EndpointTable::ApplyStatement(const std::string& endpoint, const EndpointStatement& statement,
                                    Instant started, Instant now) {
   const auto found = m_slots.find(endpoint);
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -105,6 +105,9 @@
   /// Request limit of an endpoint in requests a second; nothing if it has none.
   std::optional<double> LimitOf(const std::string& endpoint) const { return m_limits->LimitOf(endpoint); }
 
+  /// Request limits of the endpoints that this node has lately sent requests to.
+  std::vector<EndpointLimit> LimitsInUse(Instant now) const;
+
   /// Records that an attempt which still holds its slot was abandoned or ended without a response.
   void RecordNoResponse(const std::string& endpoint, std::int64_t ticket, Instant now);
 
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -44,6 +44,7 @@
   std::vector<std::string> ReleaseQueue() override;
   DispatcherLoad Load(Instant now) const override;
   std::vector<EndpointStatus> Endpoints(Instant now) const override;
+  std::vector<EndpointLimit> LimitsInUse(Instant now) const override { return m_endpoints.LimitsInUse(now); }
   bool PathsFailing(Instant now) override;
   bool Idle() const override { return m_pending.empty() && m_abandoned.empty(); }
 
--- a/fescueramp/dispatch/request_limits.cc
+++ b/fescueramp/dispatch/request_limits.cc
@@ -1,6 +1,7 @@
 #include "fescueramp/dispatch/request_limits.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace fescueramp {
 namespace {
@@ -10,6 +11,10 @@
 /// Delay of requests that later ones may make up for. Queued requests start with ticks, which are less
 /// frequent than the requests that a high limit allows.
 constexpr Duration kCatchUp = std::chrono::milliseconds(100);
+/// Time after the last request or announcement for which a node counts as a sender.
+constexpr Duration kSenderTimeout = std::chrono::seconds(3);
+/// Time for which a response without a limit goes before announcements, which may have been sent earlier.
+constexpr Duration kResponsePrecedence = std::chrono::seconds(1);
 constexpr Duration kRetention = std::chrono::minutes(1);
 
 }  // namespace
@@ -30,11 +35,52 @@
   if (limit && !entry.m_limit_per_s) entry.m_pace = now;
   entry.m_limit_per_s = limit;
   entry.m_received = now;
+  entry.m_last_sent = std::max(entry.m_last_sent, sent);
   return changed;
 }
 
-Duration RequestLimits::IntervalOf(const Entry& entry) {
-  const double limit = *entry.m_limit_per_s;
+bool RequestLimits::Merge(const EndpointLimit& limit, const std::string& node, std::int64_t version,
+                          Instant now) {
+  if (!std::isfinite(limit.m_per_s) || limit.m_per_s < 0) return false;
+  Entry& entry = m_entries[limit.m_endpoint];
+  if (limit.m_started_ms < entry.m_started_ms) return false;
+  if (limit.m_started_ms > entry.m_started_ms) entry = {};
+  entry.m_started_ms = limit.m_started_ms;
+  Sender& sender = entry.m_senders[node];
+  if (version <= sender.m_version && now - sender.m_received < kSenderTimeout) return false;
+  sender = {version, now};
+  const bool unlimited = !entry.m_limit_per_s;
+  if (unlimited ? now - entry.m_received < kResponsePrecedence : limit.m_per_s >= *entry.m_limit_per_s)
+    return false;
+  if (unlimited) entry.m_pace = now;
+  entry.m_limit_per_s = limit.m_per_s;
+  entry.m_received = now;
+  return true;
+}
+
+std::optional<EndpointLimit> RequestLimits::ToAnnounce(const std::string& endpoint, Instant now) const {
+  const auto found = m_entries.find(endpoint);
+  if (found == m_entries.end()) return std::nullopt;
+  const Entry& entry = found->second;
+  if (!entry.m_limit_per_s || now - entry.m_last_sent >= kSenderTimeout) return std::nullopt;
+  return EndpointLimit{endpoint, entry.m_started_ms, *entry.m_limit_per_s};
+}
+
+std::set<std::string> RequestLimits::Senders(Instant now) const {
+  std::set<std::string> nodes;
+  for (const auto& [endpoint, entry] : m_entries) {
+    for (const auto& [node, sender] : entry.m_senders) {
+      if (now - sender.m_received < kSenderTimeout) nodes.insert(node);
+    }
+  }
+  return nodes;
+}
+
+Duration RequestLimits::IntervalOf(const Entry& entry, Instant now) {
+  const auto others = std::count_if(entry.m_senders.begin(), entry.m_senders.end(), [&](const auto& item) {
+    return now - item.second.m_received < kSenderTimeout;
+  });
+  const double limit = *entry.m_limit_per_s / static_cast<double>(others + 1);
   return limit * ToSeconds(kMaxInterval) > 1 ? FromSeconds(1 / limit) : kMaxInterval;
 }
 
@@ -42,7 +88,7 @@
   if (m_entries.empty()) return true;
   const auto found = m_entries.find(endpoint);
   if (found == m_entries.end() || !found->second.m_limit_per_s) return true;
-  return now - found->second.m_pace >= IntervalOf(found->second);
+  return now - found->second.m_pace >= IntervalOf(found->second, now);
 }
 
 void RequestLimits::RecordSend(const std::string& endpoint, Instant now) {
@@ -51,7 +97,7 @@
   if (found == m_entries.end()) return;
   Entry& entry = found->second;
   entry.m_last_sent = now;
-  if (entry.m_limit_per_s) entry.m_pace = std::max(entry.m_pace + IntervalOf(entry), now - kCatchUp);
+  if (entry.m_limit_per_s) entry.m_pace = std::max(entry.m_pace + IntervalOf(entry, now), now - kCatchUp);
 }
 
 std::optional<double> RequestLimits::LimitOf(const std::string& endpoint) const {
@@ -61,7 +107,9 @@
 
 void RequestLimits::Expire(Instant now) {
   std::erase_if(m_entries, [&](const auto& item) {
-    return now - std::max(item.second.m_received, item.second.m_last_sent) > kRetention;
+    Instant last = std::max(item.second.m_received, item.second.m_last_sent);
+    for (const auto& [node, sender] : item.second.m_senders) last = std::max(last, sender.m_received);
+    return now - last > kRetention;
   });
 }
 
--- a/fescueramp/dispatch/request_limits.h
+++ b/fescueramp/dispatch/request_limits.h
@@ -1,10 +1,13 @@
 #pragma once
 
+#include <map>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 
 #include "fescueramp/core/time.h"
+#include "fescueramp/dispatch/endpoint_limit.h"
 #include "fescueramp/dispatch/endpoint_statement.h"
 
 namespace fescueramp {
@@ -13,7 +16,8 @@
 ///
 /// All attempts of the node draw on one pace per endpoint, whichever dispatcher starts them and why. A limit
 /// holds until the endpoint states otherwise in the response to a request that was sent after the limit was
-/// received; responses in progress may be older.
+/// received; responses in progress may be older. Nodes that send to the same endpoint announce it to one
+/// another and share its limit evenly.
 class RequestLimits {
  public:
   /// Applies the statement of a response.
@@ -24,6 +28,21 @@
   bool Observe(const std::string& endpoint, std::int64_t started_ms, const EndpointStatement& statement,
                Instant sent, Instant now);
 
+  /// Applies the announcement of another node that sends requests to an endpoint. It may set or lower a
+  /// limit; only the endpoint's own responses raise or end it.
+  /// @param version Grows with each announcement of the node; an older announcement is ignored.
+  /// @return Whether the limit changed.
+  bool Merge(const EndpointLimit& limit, const std::string& node, std::int64_t version, Instant now);
+
+  /// Limit to announce to other nodes; nothing if the endpoint has none or got no request from here lately.
+  std::optional<EndpointLimit> ToAnnounce(const std::string& endpoint, Instant now) const;
+
+  /// Nodes that have announced lately that they send requests to an endpoint with a limit.
+  std::set<std::string> Senders(Instant now) const;
+
+  /// Whether no endpoint has stated a limit.
+  bool Empty() const { return m_entries.empty(); }
+
   /// Whether the pace allows a request to an endpoint now.
   bool MaySend(const std::string& endpoint, Instant now) const;
 
@@ -37,6 +56,12 @@
   void Expire(Instant now);
 
  private:
+  /// Last announcement of another node.
+  struct Sender {
+    std::int64_t m_version = 0;
+    Instant m_received{};
+  };
+
   struct Entry {
     std::optional<double> m_limit_per_s;
     std::int64_t m_started_ms = 0;
@@ -44,10 +69,11 @@
     Instant m_last_sent{};
     Instant
         m_pace{};  ///< Time from which the next interval counts; at most `kCatchUp` before the last request.
+    std::map<std::string, Sender> m_senders;  ///< Other nodes that send to the endpoint, by name.
   };
 
   /// Shortest time between two requests to an endpoint.
-  static Duration IntervalOf(const Entry& entry);
+  static Duration IntervalOf(const Entry& entry, Instant now);
 
   std::unordered_map<std::string, Entry> m_entries;  ///< Endpoints that stated a limit, by name.
 };
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -25,6 +25,10 @@
 constexpr Duration kEndpointListTimeout = std::chrono::milliseconds(250);
 /// Time allowed for nodes to find one another.
 constexpr Duration kWatchStartDelay = std::chrono::milliseconds(1500);
+/// Time between two announcements of limits; a third of the time for which an announcement counts.
+constexpr Duration kLimitAnnouncementPeriod = std::chrono::seconds(1);
+/// First nodes of the owner order that are told of limits: the owner and those that take over from it.
+constexpr std::size_t kLimitReceivers = 3;
 /// Longest search for other nodes before this node is ready.
 constexpr Duration kDiscoveryTimeout = std::chrono::seconds(2);
 
@@ -64,6 +68,7 @@
 void NodeReducer::Handle(const Tick&, Instant now) {
   m_membership.Tick(now);
   m_limits->Expire(now);
+  AnnounceLimits(now);
   for (auto& [service, dispatcher] : m_dispatchers) {
     DispatchEffects out;
     dispatcher->Tick(now, out);
@@ -317,6 +322,7 @@
     ApplyLeavingEndpoints(now);
     m_membership.AnnounceNow(now);
   }
+  MergeLimits(message, now);
   const auto sender = m_membership.Members().find(message.m_from);
   if (message.m_revision <= Revision() || now < m_fetch_until || sender == m_membership.Members().end())
     return;
@@ -326,6 +332,27 @@
       FetchConfiguration{message.m_from, sender->second.m_address, sender->second.m_link_port, near});
 }
 
+void NodeReducer::MergeLimits(const GossipMessage& message, Instant now) {
+  for (const EndpointLimit& limit : message.m_limits) {
+    if (!m_limits->Merge(limit, message.m_from, message.m_limits_version, now)) continue;
+    m_effects.emplace_back(ReportRequestLimit{{}, limit.m_endpoint, limit.m_per_s, message.m_from});
+  }
+}
+
+void NodeReducer::AnnounceLimits(Instant now) {
+  if (m_limits->Empty() || now < m_next_limit_announcement) return;
+  m_next_limit_announcement = now + kLimitAnnouncementPeriod;
+  const std::set<std::string> senders = m_limits->Senders(now);
+  for (const auto& [name, dispatcher] : m_dispatchers) {
+    const std::vector<EndpointLimit> limits = dispatcher->LimitsInUse(now);
+    if (limits.empty()) continue;
+    std::set<std::string> receivers = senders;
+    for (auto& node : m_ownership.FirstOwners(m_parts.at(name).m_part, kLimitReceivers))
+      receivers.insert(std::move(node));
+    for (const auto& node : receivers) m_membership.SendLimits(node, limits, now);
+  }
+}
+
 void NodeReducer::Handle(const StoreResponded& event, Instant now) {
   for (auto& [group, claim_log] : m_claim_logs) claim_log->HandleStoreResponse(event, now);
 }
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -136,6 +136,11 @@
   void ApplyClaimResponse(const ClaimResponse& response, Instant now);
   void StartClaimed(RequestClaim& claim, Instant now);
   void TakeMembershipEffects();
+
+  /// Tells the nodes that may take over a part, and those that send to the same endpoints, which endpoints
+  /// with a limit this node sends requests to.
+  void AnnounceLimits(Instant now);
+  void MergeLimits(const GossipMessage& message, Instant now);
   /// Creates the dispatchers of services that this node owns, so that operators see them before the first
   /// request.
   void OpenOwnedDispatchers(Instant now);
@@ -164,6 +169,7 @@
   std::unordered_map<std::string, std::string> m_part_by_request;  ///< Name of the part, by request id.
   std::map<std::string, DispatchRequest> m_relayed;  ///< Requests relayed to the owner, by request id.
   std::shared_ptr<RequestLimits> m_limits = std::make_shared<RequestLimits>();
+  Instant m_next_limit_announcement{};
   std::vector<LiveEndpoint> m_live_endpoints;
   std::int64_t m_live_endpoints_version = 0;
   std::int64_t m_list_generation = 0;  ///< Number of endpoint lists accepted.
--- a/fescueramp/node/ownership.cc
+++ b/fescueramp/node/ownership.cc
@@ -48,6 +48,12 @@
   return order.empty() ? std::string() : order.front();
 }
 
+std::vector<std::string> Ownership::FirstOwners(const ServicePart& part, std::size_t count) const {
+  if (m_owns_all) return {m_membership.Self().m_node};
+  const auto& order = OwnerOrder(part);
+  return {order.begin(), order.begin() + static_cast<std::ptrdiff_t>(std::min(count, order.size()))};
+}
+
 std::int64_t Ownership::OwnerRank(const ServicePart& part, const std::string& node) const {
   if (m_owns_all) return 0;
   const auto& order = OwnerOrder(part);
--- a/fescueramp/node/ownership.h
+++ b/fescueramp/node/ownership.h
@@ -32,6 +32,9 @@
   /// other requests skip the node until the trial has succeeded.
   std::string ReachableOwner(const ServicePart& part, Instant now);
 
+  /// The first nodes in the owner order of a part, reachable or not, at most `count`.
+  std::vector<std::string> FirstOwners(const ServicePart& part, std::size_t count) const;
+
   /// Number of nodes before `node` in the owner order of a part.
   std::int64_t OwnerRank(const ServicePart& part, const std::string& node) const;
 
--- a/unit_tests/limit_fleet.h
+++ b/unit_tests/limit_fleet.h
@@ -48,7 +48,7 @@
   int m_served = 0;
   int m_refused = 0;
   int m_slow_refusals = 0;        ///< Refusals that took more than an eighth of the target.
-  std::size_t m_limit_bytes = 0;  ///< Bytes of statements in datagrams between nodes.
+  std::size_t m_limit_bytes = 0;  ///< Bytes of datagrams between nodes that carry limits.
 
   /// Largest number of requests, of all nodes together, that an endpoint got within `window` seconds from
   /// `from` to `until`.
--- a/unit_tests/request_limit_test.cc
+++ b/unit_tests/request_limit_test.cc
@@ -1,6 +1,7 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <cmath>
 
 #include "unit_tests/limit_fleet.h"
 
@@ -81,10 +82,11 @@
   LimitPattern pattern;
   pattern.m_limit_per_s = 0.4;
   pattern.m_seconds = 40;
+  pattern.m_arrivals_per_s = 80;
   const LimitResult result = LimitFleet(pattern).Run();
   for (const std::string endpoint : {"i-0", "i-1"}) {
     BOOST_TEST(result.MaxArrivals(endpoint, 4, 9, pattern.m_stated_until) <= 3);
-    // The demand is 5 requests a second for each endpoint.
+    // The demand is 10 requests a second for each endpoint, which takes two thirds of its slots.
     BOOST_TEST(result.MaxArrivals(endpoint, 4, pattern.m_stated_until + 5, 40) >= 10);
   }
 }
@@ -136,6 +138,58 @@
   BOOST_CHECK(limits.LimitOf("i-0") == row.m_limit_per_s);
 }
 
+/// An announcement of another node at 12 s, after a statement of the endpoint was received at `m_stated_at`.
+struct AnnouncementCase {
+  const char* m_name;
+  std::optional<double> m_stated;
+  int m_stated_at;  ///< Seconds.
+  EndpointLimit m_announced;
+  std::int64_t m_version;
+  std::optional<double> m_limit_per_s;  ///< Limit in force afterwards.
+};
+
+std::ostream& operator<<(std::ostream& out, const AnnouncementCase& row) { return out << row.m_name; }
+
+const AnnouncementCase kAnnouncements[] = {
+    {"sets a limit that is not known", {}, 10, {"i-1", 1, 3}, 2, 3},
+    {"lowers a limit", 2, 10, {"i-0", 1, 1}, 2, 1},
+    {"does not raise a limit", 2, 10, {"i-0", 1, 3}, 2, 2},
+    {"does not undo a response without a limit", {}, 12, {"i-0", 1, 3}, 2, {}},
+    {"that is older than the last one is ignored", 2, 10, {"i-0", 1, 1}, 0, 2},
+    {"of an earlier start of the endpoint is ignored", 2, 10, {"i-0", 0, 1}, 2, 2},
+    {"of a later start of the endpoint", 2, 10, {"i-0", 2, 3}, 2, 3},
+    {"that is no number is ignored", 2, 10, {"i-0", 1, std::nan("")}, 2, 2},
+    {"that is negative is ignored", 2, 10, {"i-0", 1, -1}, 2, 2},
+};
+
+BOOST_DATA_TEST_CASE(AnnouncementOnlySetsOrLowersALimit, boost::unit_test::data::make(kAnnouncements), row) {
+  const Instant start{seconds(1'700'000'000)};
+  const Instant stated = start + seconds(row.m_stated_at);
+  RequestLimits limits;
+  limits.Observe("i-0", 1, {StatementKind::kValid, 4}, start, start + seconds(1));
+  limits.Observe("i-0", 1, {StatementKind::kValid, row.m_stated}, stated - std::chrono::milliseconds(1),
+                 stated);
+  limits.Merge({"i-0", 1, 9}, "n1", 1, start + seconds(11));
+  limits.Merge(row.m_announced, "n1", row.m_version, start + seconds(12));
+  BOOST_CHECK(limits.LimitOf(row.m_announced.m_endpoint) == row.m_limit_per_s);
+}
+
+BOOST_AUTO_TEST_CASE(AnnouncedLimitsFitIntoControlTraffic) {
+  // One dispatcher of 200 endpoints, of which a tenth state a limit.
+  LimitPattern pattern;
+  pattern.m_nodes = 10;
+  pattern.m_endpoints = 200;
+  pattern.m_limited_endpoints = 20;
+  pattern.m_arrivals_per_s = 400;
+  pattern.m_seconds = 16;
+  const LimitResult result = LimitFleet(pattern).Run();
+  const double bytes_per_s =
+      static_cast<double>(result.m_limit_bytes) / (pattern.m_seconds - pattern.m_stated_from);
+  BOOST_TEST_MESSAGE(bytes_per_s << " bytes a second");
+  BOOST_TEST(result.m_limit_bytes > 0U);
+  BOOST_TEST(bytes_per_s <= 3000);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
