Don't take copies of entries in a restored store for news of their endpoints

Callers saw: nothing yet. What could happen: an endpoint that had left, or was leaving, gets requests again for some seconds after a restoration; one that registered since the copy was made loses its traffic. Cause: each entry of a read replaced what was known. The copy holds entries that are older than those read before, and lacks the newest. Change: entries are compared by the start of their endpoint and its sequence in the first read of another era. Older ones are not applied; those of endpoints that were removed are used only if they outlive three heartbeats; missing ones have the grace period of an outage. Evidence: 3 of 7 rows of store_restore/CopiedEntryDoesNotUndoWhatItsEndpointWroteSince failed before; without the call in the control plane EndpointMissingInTheCopyIsKeptUntilItRegistersAgain fails; all pass now. The first test says HandleRestoration where it said HandleOutage, as an outage alone still replaces entries; its rows and checks are the same.

--- a/unit_tests/store_restore_test.cc
+++ b/unit_tests/store_restore_test.cc
@@ -200,13 +200,50 @@
   directory.Apply({item(EndpointText("ready", 6))}, clock.Now());
   directory.Apply({item(row.m_before)}, clock.Now());
   clock.Advance(seconds(1));
-  directory.HandleOutage();
+  directory.HandleRestoration();
   directory.Replace({item(row.m_copied)}, clock.Now());
   const auto endpoints = directory.Endpoints();
   BOOST_REQUIRE(endpoints.size() == (row.m_listed ? 1U : 0U));
   if (row.m_listed) BOOST_TEST(endpoints[0].m_leaving == row.m_leaving);
 }
 
+BOOST_AUTO_TEST_CASE(EndpointMissingInTheCopyIsKeptUntilItRegistersAgain) {
+  WatchingNode node;
+  node.Store().Put("op/config", ConfigText("0000001c"));
+  node.Store().Copy();
+  node.Store().Put("servers/i-1", EndpointText("ready", 4));
+  node.Start();
+  BOOST_REQUIRE(node.RunUntil([&] { return node.Listed("i-1", false); }));
+  node.Store().Restore(WatchEnd::kResponse, false);
+  // Watches again, after the new read.
+  node.RunUntil([&] { return node.Store().WaitingWatches() == 0; });
+  BOOST_REQUIRE(node.RunUntil([&] { return node.Store().WaitingWatches() == 2; }));
+  BOOST_TEST(node.Listed("i-1", false));
+}
+
+BOOST_AUTO_TEST_CASE(CopiedEntryIsUsedIfItOutlivesTheHeartbeats) {
+  const auto item = [](bool removed) {
+    KvItem found;
+    found.m_key = "servers/i-1";
+    found.m_removed = removed;
+    if (!removed) found.m_value = EndpointText("ready", 4);
+    return found;
+  };
+  ManualClock clock;
+  EndpointDirectory directory;
+  directory.Replace({item(false)}, clock.Now());
+  clock.Advance(seconds(10));
+  directory.Apply({item(true)}, clock.Now());
+  directory.HandleRestoration();
+  directory.Replace({item(false)}, clock.Now());
+  clock.Advance(EndpointDirectory::kCopiedEntryLifetime - milliseconds(1));
+  BOOST_TEST(!directory.Expire(clock.Now()));
+  BOOST_TEST(directory.Endpoints().empty());
+  clock.Advance(milliseconds(1));
+  BOOST_TEST(directory.Expire(clock.Now()));
+  BOOST_TEST(directory.Endpoints().size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
