Refuse requests that arrive late in the grace time of a shutdown

Change: after the port for callers was closed, requests are refused at once as not run; other nodes take them without a delay. The daemon tells the reducer with the event CallerPortClosed. Evidence: discovery/RequestThatComesLateInTheGraceTimeIsNotPassedOn failed before (the request was forwarded) and passes now.

--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -372,6 +372,7 @@
   m_caller_server->Stop();
   m_caller_server->CloseIdle();
   m_caller_port_closed = true;
+  Post(CallerPortClosed{});
   co_await Sleep(std::chrono::seconds(m_settings.m_shutdown_grace_s) - kShutdownMargin - leave_notice);
   m_log.WriteUnthrottled("stopped", {{"reason", "the grace time is over"},
                                      {"caller_requests", m_entry->RequestsInProgress()},
--- a/fescueramp/node/events.h
+++ b/fescueramp/node/events.h
@@ -153,8 +153,15 @@
 };
 BOOST_DESCRIBE_STRUCT(ShutdownRequested, (), ())
 
-using Event = std::variant<Tick, RequestReceived, ForwardEnded, DispatchArrived, DispatchCancelled,
-                           RelayFailed, AttemptEnded, GossipReceived, StoreResponded, ConfigurationLoaded,
-                           ConfigurationFailed, HostsListed, EndpointsListed, NodesFound, ShutdownRequested>;
+/// The port for callers was closed during a shutdown; requests on open connections may still arrive.
+struct CallerPortClosed {
+  static constexpr const char* kType = "caller_port_closed";
+};
+BOOST_DESCRIBE_STRUCT(CallerPortClosed, (), ())
+
+using Event =
+    std::variant<Tick, RequestReceived, ForwardEnded, DispatchArrived, DispatchCancelled, RelayFailed,
+                 AttemptEnded, GossipReceived, StoreResponded, ConfigurationLoaded, ConfigurationFailed,
+                 HostsListed, EndpointsListed, NodesFound, ShutdownRequested, CallerPortClosed>;
 
 }  // namespace fescueramp
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -88,6 +88,12 @@
 }
 
 void NodeReducer::Handle(const RequestReceived& event, Instant now) {
+  if (m_caller_port_closed) {
+    // What is left of the grace time may be too short for new work. Other nodes take it at once.
+    m_effects.emplace_back(
+        RefuseRequest{event.m_request_id, static_cast<std::int64_t>(ResultCode::kNotReady), 0, false});
+    return;
+  }
   m_entry.Receive(event, m_table, now, m_effects);
 }
 
@@ -438,6 +444,8 @@
   }
 }
 
+void NodeReducer::Handle(const CallerPortClosed&, Instant) { m_caller_port_closed = true; }
+
 void NodeReducer::CheckShutdown(Instant now) {
   if (!m_leaving || m_shutdown_reported) return;
   const bool idle =
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -112,6 +112,7 @@
   void Handle(const EndpointsListed& event, Instant now);
   void Handle(const NodesFound& event, Instant now);
   void Handle(const ShutdownRequested& event, Instant now);
+  void Handle(const CallerPortClosed& event, Instant now);
 
   void AcceptDispatch(const DispatchRequest& request, Instant now);
   /// Returns null when the configuration has no such service.
@@ -186,6 +187,7 @@
   std::int64_t m_opened_revision = 0;             ///< Revision for which OpenOwnedDispatchers ran.
   std::int64_t m_watch_candidates_version = -1;   ///< Owner candidates when the watch scope was last set.
   bool m_leaving = false;
+  bool m_caller_port_closed = false;
   bool m_shutdown_reported = false;
   Instant m_last_event{};
   Instant m_fetch_until{};  ///< Time until which a fetch of a revision counts as running.
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -327,6 +327,27 @@
   BOOST_TEST(third.m_unserved_since == 1);
 }
 
+BOOST_AUTO_TEST_CASE(RequestThatComesLateInTheGraceTimeIsNotPassedOn) {
+  DiscoveryNode node(6);
+  node.Post(ShutdownRequested{});
+  // Callers that have not noticed yet are served.
+  BOOST_TEST(
+      DiscoveryNode::Select<ForwardRequest>(node.Post(RequestReceived{"n0-1", "GET", "/read/1", "", "", 0}))
+          .size() == 1U);
+  node.Post(CallerPortClosed{});
+  for (const char* method : {"GET", "POST"}) {
+    const std::string path = method == std::string("GET") ? "/read/2" : "/file";
+    const Effects effects = node.Post(RequestReceived{std::string("n0-") + method, method, path, "", "", 0});
+    BOOST_TEST(DiscoveryNode::Select<ForwardRequest>(effects).empty());
+    const auto refused = DiscoveryNode::Select<RefuseRequest>(effects);
+    BOOST_REQUIRE(refused.size() == 1U);
+    BOOST_TEST(refused[0].m_code == static_cast<std::int64_t>(ResultCode::kNotReady));
+    BOOST_TEST(!refused[0].m_maybe_ran);
+    // Other nodes take the request at once.
+    BOOST_TEST(refused[0].m_retry_after_ms == 0);
+  }
+}
+
 /// Outcomes that an entry host reports.
 struct ReportedOutcomes {
   std::int64_t m_served;
