Don't take a repeated misdirection response for the next request's

Report of other operators: a faulty endpoint wrote an earlier refusal once more on a kept connection; callers were told "not run" for requests that had run (REFUSED), or the work ran at a second endpoint (TWICE). Can it happen here: with a 421 that has no request ID. Refusals that name another request were skipped and other refusals without an ID invalid before, but a 421 counted as this request's, whatever the connection had carried. Change: a 421 without a request ID is valid on a new connection only, where another instance has taken over the address; on a connection that has carried other requests it is invalid, and the request may have run.

--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -286,8 +286,13 @@
   const auto left =
       std::chrono::duration_cast<std::chrono::milliseconds>(effect.m_deadline - m_context.m_clock->Now());
   const DispatchRequest& request = call->m_request;
-  attempt->m_metadata = {request.m_request_id, request.m_caller_id, request.m_account,
-                         effect.m_endpoint,    effect.m_attempt,    left.count()};
+  attempt->m_metadata = {request.m_request_id,
+                         request.m_caller_id,
+                         request.m_account,
+                         effect.m_endpoint,
+                         effect.m_attempt,
+                         left.count(),
+                         attempt->m_connection->m_reused};
   m_context.m_dialect->AddAttemptFields(attempt->m_metadata, head);
   co_await connection.SendHead(std::move(head), TimeLeft(effect));
   if (call->m_head.m_content_length == 0) co_return;
--- a/fescueramp/net/dialect.h
+++ b/fescueramp/net/dialect.h
@@ -23,7 +23,8 @@
   std::string m_account;
   std::string m_endpoint;  ///< Name of the endpoint that the attempt is sent to.
   std::int64_t m_attempt = 0;
-  std::int64_t m_left_ms = 0;  ///< Time left until the deadline, ms.
+  std::int64_t m_left_ms = 0;        ///< Time left until the deadline, ms.
+  bool m_reused_connection = false;  ///< Whether the connection carried other requests before.
 };
 
 /// Classification of an endpoint's response.
--- a/unit_tests/response_reader_test.cc
+++ b/unit_tests/response_reader_test.cc
@@ -73,7 +73,7 @@
   bool m_timed_out = false;
 };
 
-ReadResult ReadFrom(RawEndpoint& endpoint, Duration time) {
+ReadResult ReadFrom(RawEndpoint& endpoint, Duration time, bool reused = true) {
   ReadResult result;
   const SteadyWallClock clock;
   const platform::PlatformDialect dialect;
@@ -89,6 +89,7 @@
       co_await connection.SendHead(head, timeout);
       AttemptMetadata metadata;
       metadata.m_caller_id = "mine";
+      metadata.m_reused_connection = reused;
       ResponseReader reader(connection, dialect, clock, metadata,
                             {clock.Now() + time, std::chrono::hours(1)});
       ResponseHead response;
@@ -179,6 +180,38 @@
   BOOST_TEST(result.m_body == row.m_body);
 }
 
+/// Response that an endpoint wrote before, and writes again before the expected response.
+struct RepeatedResponseCase {
+  const char* m_name;
+  std::string m_bytes;
+  bool m_reused;
+  ResponseKind m_kind;
+};
+
+std::ostream& operator<<(std::ostream& out, const RepeatedResponseCase& row) { return out << row.m_name; }
+
+const std::string kRefusal = "HTTP/1.1 503 No\r\nX-Fescueramp-Not-Executed: 1\r\nContent-Length: 0\r\n";
+const std::string kOtherId = "X-Fescueramp-Request-Id: other\r\n";
+const std::string kMisdirection = "HTTP/1.1 421 No\r\nX-Fescueramp-Instance-Id: i-2\r\nContent-Length: 0\r\n";
+const std::string kExpected = kOwnHead + "Content-Length: 2\r\n\r\nme";
+
+const RepeatedResponseCase kRepeatedResponses[] = {
+    {"refusal of another request", kRefusal + kOtherId + "\r\n", true, ResponseKind::kCompleted},
+    {"refusal without a request ID", kRefusal + "\r\n", true, ResponseKind::kInvalid},
+    {"misdirection of another request", kMisdirection + kOtherId + "\r\n", true, ResponseKind::kCompleted},
+    {"misdirection without a request ID", kMisdirection + "\r\n", true, ResponseKind::kInvalid},
+    {"misdirection without a request ID on a new connection", kMisdirection + "\r\n", false,
+     ResponseKind::kMisdirected},
+};
+
+BOOST_DATA_TEST_CASE(RepeatedRefusalIsNotTakenForTheNextRequest,
+                     boost::unit_test::data::make(kRepeatedResponses), row) {
+  RawEndpoint endpoint(row.m_bytes + kExpected, "");
+  const ReadResult result = ReadFrom(endpoint, std::chrono::seconds(20), row.m_reused);
+  BOOST_TEST(!result.m_failed);
+  BOOST_TEST((result.m_info.m_kind == row.m_kind));
+}
+
 BOOST_AUTO_TEST_CASE(RetryAvoidsConnectionThatCarriedTheRequest) {
   // A duplicate refusal of the first attempt would be taken for the response to the second attempt.
   RawEndpoint endpoint(kOwnHead + "Content-Length: 0\r\n\r\n", "");
