Show that a response that ends within its head fails

Report of other operators: an endpoint stopped in the middle of its response head and closed; callers got a 200 with an empty or short body, framed as whole (MIXED, ORDER). Can it happen here: no. The head is parsed whole before anything is passed on, and its end is an error of the connection. Change: a test only. It cuts four responses (with a length, chunked, without a length, behind an interim response) after each byte up to the end of the head, by closing and by resetting the connection. Evidence: response_reader/ResponseThatEndsWithinItsHeadFails passes for all cuts without any change of the code.

--- a/unit_tests/response_reader_test.cc
+++ b/unit_tests/response_reader_test.cc
@@ -17,15 +17,19 @@
 
 using tcp = asio::ip::tcp;
 
+/// What the endpoint does after it has written its bytes.
+enum class After { kKeepsOpen, kCloses, kResets };
+
 /// Endpoint on loopback that reads one request and then writes given bytes.
 class RawEndpoint {
  public:
   /// @param first Bytes written after the request.
   /// @param repeated Bytes written repeatedly until the client closes the connection; may be empty.
-  RawEndpoint(std::string first, std::string repeated)
+  RawEndpoint(std::string first, std::string repeated, After after = After::kKeepsOpen)
       : m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
         m_first(std::move(first)),
-        m_repeated(std::move(repeated)) {
+        m_repeated(std::move(repeated)),
+        m_after(after) {
     asio::co_spawn(m_io, Serve(), asio::detached);
   }
 
@@ -53,6 +57,8 @@
       co_await asio::async_write(socket, asio::buffer(m_repeated),
                                  asio::redirect_error(asio::use_awaitable, ec));
     }
+    if (m_after == After::kResets) socket.set_option(asio::socket_base::linger(true, 0));
+    if (m_after != After::kKeepsOpen) co_return socket.close();
     // Keep the connection open until the client closes it.
     while (!ec) {
       co_await socket.async_read_some(asio::buffer(request), asio::redirect_error(asio::use_awaitable, ec));
@@ -63,6 +69,7 @@
   tcp::acceptor m_acceptor;
   std::string m_first;
   std::string m_repeated;
+  After m_after;
 };
 
 /// Result of reading one response.
@@ -112,6 +119,10 @@
     "HTTP/1.1 200 OK\r\nX-Fescueramp-Request-Id: other\r\nX-Fescueramp-Response-Seal: s\r\n";
 const std::string kChunk = "400\r\n" + std::string(1024, 'x') + "\r\n";
 
+std::ostream& operator<<(std::ostream& out, After after) {
+  return out << (after == After::kCloses ? "closed" : "reset");
+}
+
 BOOST_AUTO_TEST_SUITE(response_reader)
 
 /// Endless data that never completes a response.
@@ -212,6 +223,19 @@
   BOOST_TEST((result.m_info.m_kind == row.m_kind));
 }
 
+BOOST_DATA_TEST_CASE(ResponseThatEndsWithinItsHeadFails,
+                     boost::unit_test::data::make({After::kCloses, After::kResets}), after) {
+  for (const std::string& response :
+       {kExpected, kOwnHead + "Transfer-Encoding: chunked\r\n\r\n2\r\nme\r\n0\r\n\r\n", kOwnHead + "\r\n",
+        "HTTP/1.1 102 Processing\r\n\r\n" + kExpected}) {
+    const std::size_t head_end = response.find(kOwnHead) + kOwnHead.size();
+    for (std::size_t size = 0; size < head_end + 2; ++size) {
+      RawEndpoint endpoint(response.substr(0, size), "", after);
+      BOOST_REQUIRE_MESSAGE(ReadFrom(endpoint, std::chrono::seconds(20)).m_failed, size << " bytes");
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(RetryAvoidsConnectionThatCarriedTheRequest) {
   // A duplicate refusal of the first attempt would be taken for the response to the second attempt.
   RawEndpoint endpoint(kOwnHead + "Content-Length: 0\r\n\r\n", "");
