Rename RequestLimits to EndpointConstraints

Cause: endpoints state more than a limit; what a node may send them is to be kept and read in one place. Change: names only: EndpointConstraints, AnnouncedConstraint, ReportConstraint and what carries them between nodes. No behaviour. Measured: nothing; no logic was touched.

--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -293,7 +293,7 @@
                                   {"latency_evidence", change.m_latency_evidence}});
 }
 
-void NodeDaemon::RunEffect(const ReportRequestLimit& effect) {
+void NodeDaemon::RunEffect(const ReportConstraint& effect) {
   m_log.Write("endpoint_limit", {{"endpoint", effect.m_endpoint},
                                  {"service", effect.m_service},
                                  {"limit_per_s", ToJson(effect.m_limit_per_s)},
--- a/fescueramp/dispatch/endpoint_limit.h
+++ b/fescueramp/dispatch/announced_constraint.h
@@ -7,11 +7,11 @@
 namespace fescueramp {
 
 /// Request limit of an endpoint, as a node that sends requests to it announces it to other nodes.
-struct EndpointLimit {
+struct AnnouncedConstraint {
   std::string m_endpoint;
   std::int64_t m_started_ms = 0;  ///< Start time of the endpoint, Unix ms; 0 if unknown.
   double m_per_s = 0;             ///< Requests a second that the endpoint takes from all hosts together.
 };
-BOOST_DESCRIBE_STRUCT(EndpointLimit, (), (m_endpoint, m_started_ms, m_per_s))
+BOOST_DESCRIBE_STRUCT(AnnouncedConstraint, (), (m_endpoint, m_started_ms, m_per_s))
 
 }  // namespace fescueramp
--- a/fescueramp/dispatch/baseline_dispatcher.h
+++ b/fescueramp/dispatch/baseline_dispatcher.h
@@ -28,7 +28,7 @@
   std::vector<std::string> ReleaseQueue() override { return {}; }
   DispatcherLoad Load(Instant now) const override;
   std::vector<EndpointStatus> Endpoints(Instant now) const override;
-  std::vector<EndpointLimit> LimitsInUse(Instant) const override { return {}; }
+  std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant) const override { return {}; }
   bool PathsFailing(Instant) override { return false; }
   bool Idle() const override { return m_pending.empty(); }
 
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -115,14 +115,14 @@
 BOOST_DESCRIBE_STRUCT(ReportHealth, (), (m_service, m_change))
 
 /// Reports that the request limit of an endpoint changed, for logs.
-struct ReportRequestLimit {
-  static constexpr const char* kType = "report_request_limit";
+struct ReportConstraint {
+  static constexpr const char* kType = "report_constraint";
   std::string m_service;
   std::string m_endpoint;
   std::optional<double> m_limit_per_s;  ///< Nothing if the endpoint has no limit any more.
   std::string m_source;                 ///< Node that received the endpoint's statement.
 };
-BOOST_DESCRIBE_STRUCT(ReportRequestLimit, (), (m_service, m_endpoint, m_limit_per_s, m_source))
+BOOST_DESCRIBE_STRUCT(ReportConstraint, (), (m_service, m_endpoint, m_limit_per_s, m_source))
 
 /// How an attempt ended, as the daemon observed it.
 struct AttemptResult {
--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -8,16 +8,16 @@
 #include <vector>
 
 #include "fescueramp/config/live_endpoint.h"
+#include "fescueramp/dispatch/announced_constraint.h"
 #include "fescueramp/dispatch/dispatch_types.h"
 #include "fescueramp/dispatch/endpoint_coverage.h"
-#include "fescueramp/dispatch/endpoint_limit.h"
 #include "fescueramp/routing/route_table.h"
 
 namespace fescueramp {
 
 /// Effects that a dispatcher requests, in order.
-using DispatchEffect = std::variant<StartAttempt, FinishRequest, DeliverResponse, CancelAttempt, ReportHealth,
-                                    ReportRequestLimit>;
+using DispatchEffect =
+    std::variant<StartAttempt, FinishRequest, DeliverResponse, CancelAttempt, ReportHealth, ReportConstraint>;
 using DispatchEffects = std::vector<DispatchEffect>;
 
 /// Load of a dispatcher, for status and metrics.
@@ -103,7 +103,7 @@
   virtual std::vector<EndpointStatus> Endpoints(Instant now) const = 0;
 
   /// Request limits of the endpoints that this dispatcher has lately sent requests to.
-  virtual std::vector<EndpointLimit> LimitsInUse(Instant now) const = 0;
+  virtual std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant now) const = 0;
 
   /// Whether network paths from this node to endpoints seem to fail, so that another node may still reach
   /// them.
--- a/fescueramp/dispatch/request_limits.cc
+++ b/fescueramp/dispatch/endpoint_constraints.cc
@@ -1,4 +1,4 @@
-#include "fescueramp/dispatch/request_limits.h"
+#include "fescueramp/dispatch/endpoint_constraints.h"
 
 #include <algorithm>
 #include <cmath>
@@ -19,8 +19,8 @@
 
 }  // namespace
 
-bool RequestLimits::Observe(const std::string& endpoint, std::int64_t started_ms,
-                            const EndpointStatement& statement, Instant sent, Instant now) {
+bool EndpointConstraints::Observe(const std::string& endpoint, std::int64_t started_ms,
+                                  const EndpointStatement& statement, Instant sent, Instant now) {
   if (statement.m_kind != StatementKind::kValid) return false;
   const auto found = m_entries.find(endpoint);
   if (found == m_entries.end() && !statement.m_limit_per_s) return false;
@@ -39,8 +39,8 @@
   return changed;
 }
 
-bool RequestLimits::Merge(const EndpointLimit& limit, const std::string& node, std::int64_t version,
-                          Instant now) {
+bool EndpointConstraints::Merge(const AnnouncedConstraint& limit, const std::string& node,
+                                std::int64_t version, Instant now) {
   if (!std::isfinite(limit.m_per_s) || limit.m_per_s < 0) return false;
   Entry& entry = m_entries[limit.m_endpoint];
   if (limit.m_started_ms < entry.m_started_ms) return false;
@@ -58,15 +58,16 @@
   return true;
 }
 
-std::optional<EndpointLimit> RequestLimits::ToAnnounce(const std::string& endpoint, Instant now) const {
+std::optional<AnnouncedConstraint> EndpointConstraints::ToAnnounce(const std::string& endpoint,
+                                                                   Instant now) const {
   const auto found = m_entries.find(endpoint);
   if (found == m_entries.end()) return std::nullopt;
   const Entry& entry = found->second;
   if (!entry.m_limit_per_s || now - entry.m_last_sent >= kSenderTimeout) return std::nullopt;
-  return EndpointLimit{endpoint, entry.m_started_ms, *entry.m_limit_per_s};
+  return AnnouncedConstraint{endpoint, entry.m_started_ms, *entry.m_limit_per_s};
 }
 
-std::set<std::string> RequestLimits::Senders(Instant now) const {
+std::set<std::string> EndpointConstraints::Senders(Instant now) const {
   std::set<std::string> nodes;
   for (const auto& [endpoint, entry] : m_entries) {
     for (const auto& [node, sender] : entry.m_senders) {
@@ -76,7 +77,7 @@
   return nodes;
 }
 
-Duration RequestLimits::IntervalOf(const Entry& entry, Instant now) {
+Duration EndpointConstraints::IntervalOf(const Entry& entry, Instant now) {
   const auto others = std::count_if(entry.m_senders.begin(), entry.m_senders.end(), [&](const auto& item) {
     return now - item.second.m_received < kSenderTimeout;
   });
@@ -84,14 +85,14 @@
   return limit * ToSeconds(kMaxInterval) > 1 ? FromSeconds(1 / limit) : kMaxInterval;
 }
 
-bool RequestLimits::MaySend(const std::string& endpoint, Instant now) const {
+bool EndpointConstraints::MaySend(const std::string& endpoint, Instant now) const {
   if (m_entries.empty()) return true;
   const auto found = m_entries.find(endpoint);
   if (found == m_entries.end() || !found->second.m_limit_per_s) return true;
   return now - found->second.m_pace >= IntervalOf(found->second, now);
 }
 
-void RequestLimits::RecordSend(const std::string& endpoint, Instant now) {
+void EndpointConstraints::RecordSend(const std::string& endpoint, Instant now) {
   if (m_entries.empty()) return;
   const auto found = m_entries.find(endpoint);
   if (found == m_entries.end()) return;
@@ -100,12 +101,12 @@
   if (entry.m_limit_per_s) entry.m_pace = std::max(entry.m_pace + IntervalOf(entry, now), now - kCatchUp);
 }
 
-std::optional<double> RequestLimits::LimitOf(const std::string& endpoint) const {
+std::optional<double> EndpointConstraints::LimitOf(const std::string& endpoint) const {
   const auto found = m_entries.find(endpoint);
   return found == m_entries.end() ? std::nullopt : found->second.m_limit_per_s;
 }
 
-void RequestLimits::Expire(Instant now) {
+void EndpointConstraints::Expire(Instant now) {
   std::erase_if(m_entries, [&](const auto& item) {
     Instant last = std::max(item.second.m_received, item.second.m_last_sent);
     for (const auto& [node, sender] : item.second.m_senders) last = std::max(last, sender.m_received);
--- a/fescueramp/dispatch/request_limits.h
+++ b/fescueramp/dispatch/endpoint_constraints.h
@@ -7,7 +7,7 @@
 #include <unordered_map>
 
 #include "fescueramp/core/time.h"
-#include "fescueramp/dispatch/endpoint_limit.h"
+#include "fescueramp/dispatch/announced_constraint.h"
 #include "fescueramp/dispatch/endpoint_statement.h"
 
 namespace fescueramp {
@@ -18,7 +18,7 @@
 /// holds until the endpoint states otherwise in the response to a request that was sent after the limit was
 /// received; responses in progress may be older. Nodes that send to the same endpoint announce it to one
 /// another and share its limit evenly.
-class RequestLimits {
+class EndpointConstraints {
  public:
   /// Applies the statement of a response.
   /// @param started_ms Start time of the endpoint, Unix ms; a limit doesn't outlive a restart of its
@@ -32,10 +32,10 @@
   /// limit; only the endpoint's own responses raise or end it.
   /// @param version Grows with each announcement of the node; an older announcement is ignored.
   /// @return Whether the limit changed.
-  bool Merge(const EndpointLimit& limit, const std::string& node, std::int64_t version, Instant now);
+  bool Merge(const AnnouncedConstraint& limit, const std::string& node, std::int64_t version, Instant now);
 
   /// Limit to announce to other nodes; nothing if the endpoint has none or got no request from here lately.
-  std::optional<EndpointLimit> ToAnnounce(const std::string& endpoint, Instant now) const;
+  std::optional<AnnouncedConstraint> ToAnnounce(const std::string& endpoint, Instant now) const;
 
   /// Nodes that have announced lately that they send requests to an endpoint with a limit.
   std::set<std::string> Senders(Instant now) const;
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -84,17 +84,17 @@
 }
 
 double EndpointTable::SlotsWithinLimit(const Slots& state) const {
-  const auto limit = m_limits->LimitOf(state.m_name);
+  const auto limit = m_constraints->LimitOf(state.m_name);
   const double service_time = m_times.MeanServiceTime();
   if (!limit || service_time <= 0) return std::numeric_limits<double>::infinity();
   return *limit * service_time;
 }
 
-std::vector<EndpointLimit> EndpointTable::LimitsInUse(Instant now) const {
-  std::vector<EndpointLimit> limits;
-  if (m_limits->Empty()) return limits;
+std::vector<AnnouncedConstraint> EndpointTable::ConstraintsToAnnounce(Instant now) const {
+  std::vector<AnnouncedConstraint> limits;
+  if (m_constraints->Empty()) return limits;
   for (const auto& [name, state] : m_slots) {
-    if (auto limit = m_limits->ToAnnounce(name, now)) limits.push_back(std::move(*limit));
+    if (auto limit = m_constraints->ToAnnounce(name, now)) limits.push_back(std::move(*limit));
   }
   return limits;
 }
@@ -103,7 +103,7 @@
                                    Instant started, Instant now) {
   const auto found = m_slots.find(endpoint);
   if (found == m_slots.end()) return false;
-  return m_limits->Observe(endpoint, found->second.m_started_ms, statement, started, now);
+  return m_constraints->Observe(endpoint, found->second.m_started_ms, statement, started, now);
 }
 
 EndpointCoverage EndpointTable::Coverage(Instant now) const {
@@ -141,7 +141,7 @@
 }
 
 bool EndpointTable::Meets(const Slots& state, const Need& need, Instant now) const {
-  if (state.m_backoff_until > now || !m_limits->MaySend(state.m_name, now)) return false;
+  if (state.m_backoff_until > now || !m_constraints->MaySend(state.m_name, now)) return false;
   if (need.m_alone && state.m_busy > 0) return false;
   if (need.m_avoid && need.m_avoid->contains(state.m_name)) return false;
   if (!need.m_canary && m_health.State(state.m_name) == HealthState::kCanary) return false;
@@ -204,7 +204,7 @@
   state.m_exclusive = exclusive;
   state.m_last_used = ++m_use_counter;
   state.m_placement.RecordUse(now);
-  m_limits->RecordSend(state.m_name, now);
+  m_constraints->RecordSend(state.m_name, now);
   state.m_running.emplace(m_use_counter, Running{now, route, false});
   Reindex(state);
   return m_use_counter;
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -11,9 +11,9 @@
 #include "fescueramp/config/live_endpoint.h"
 #include "fescueramp/config/objects.h"
 #include "fescueramp/core/time.h"
+#include "fescueramp/dispatch/endpoint_constraints.h"
 #include "fescueramp/dispatch/endpoint_coverage.h"
 #include "fescueramp/dispatch/placement.h"
-#include "fescueramp/dispatch/request_limits.h"
 #include "fescueramp/health/health_monitor.h"
 #include "fescueramp/health/service_time_model.h"
 
@@ -70,8 +70,8 @@
   };
 
   /// @param limits Request limits of endpoints, shared by the dispatchers of one node.
-  EndpointTable(HealthMonitor& health, std::string own_zone, std::shared_ptr<RequestLimits> limits)
-      : m_health(health), m_own_zone(std::move(own_zone)), m_limits(std::move(limits)) {}
+  EndpointTable(HealthMonitor& health, std::string own_zone, std::shared_ptr<EndpointConstraints> limits)
+      : m_health(health), m_own_zone(std::move(own_zone)), m_constraints(std::move(limits)) {}
 
   /// Sets the endpoints, which are listed in a pool or announced themselves. Endpoints already in the table
   /// keep their state.
@@ -103,10 +103,12 @@
                       Instant now);
 
   /// Request limit of an endpoint in requests a second; nothing if it has none.
-  std::optional<double> LimitOf(const std::string& endpoint) const { return m_limits->LimitOf(endpoint); }
+  std::optional<double> LimitOf(const std::string& endpoint) const {
+    return m_constraints->LimitOf(endpoint);
+  }
 
   /// Request limits of the endpoints that this node has lately sent requests to.
-  std::vector<EndpointLimit> LimitsInUse(Instant now) const;
+  std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant now) const;
 
   /// Records that an attempt which still holds its slot was abandoned or ended without a response.
   void RecordNoResponse(const std::string& endpoint, std::int64_t ticket, Instant now);
@@ -201,7 +203,7 @@
   ServiceTimeModel m_times;
   std::map<std::string, Slots> m_slots;
   std::set<FreeKey> m_free;
-  std::shared_ptr<RequestLimits> m_limits;
+  std::shared_ptr<EndpointConstraints> m_constraints;
   double m_reliable_slots = 0;  ///< See `ReliableSlots`.
   double m_responsive_slots = 0;
   std::int64_t m_total_usable = 0;
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -31,11 +31,11 @@
 }  // namespace
 
 FairDispatcher::FairDispatcher(ServicePart part, std::string node, const std::string& zone,
-                               HealthSettings health, std::shared_ptr<RequestLimits> limits)
+                               HealthSettings health, std::shared_ptr<EndpointConstraints> limits)
     : m_part(std::move(part)),
       m_node(std::move(node)),
       m_health(health),
-      m_endpoints(m_health, zone, limits ? std::move(limits) : std::make_shared<RequestLimits>()) {}
+      m_endpoints(m_health, zone, limits ? std::move(limits) : std::make_shared<EndpointConstraints>()) {}
 
 void FairDispatcher::Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) {
   m_table = std::move(table);
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -30,7 +30,7 @@
   /// @param limits Request limits of endpoints that the node's dispatchers share; the dispatcher's own if
   /// null.
   FairDispatcher(ServicePart part, std::string node, const std::string& zone, HealthSettings health = {},
-                 std::shared_ptr<RequestLimits> limits = nullptr);
+                 std::shared_ptr<EndpointConstraints> limits = nullptr);
 
   void Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) override;
   void SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, std::int64_t parts, Instant now,
@@ -44,7 +44,9 @@
   std::vector<std::string> ReleaseQueue() override;
   DispatcherLoad Load(Instant now) const override;
   std::vector<EndpointStatus> Endpoints(Instant now) const override;
-  std::vector<EndpointLimit> LimitsInUse(Instant now) const override { return m_endpoints.LimitsInUse(now); }
+  std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant now) const override {
+    return m_endpoints.ConstraintsToAnnounce(now);
+  }
   bool PathsFailing(Instant now) override;
   bool Idle() const override { return m_pending.empty() && m_abandoned.empty(); }
 
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -103,7 +103,7 @@
                                     DispatchEffects& out) {
   if (!m_endpoints.ApplyStatement(attempt.m_endpoint, result.m_statement, attempt.m_started, now)) return;
   out.emplace_back(
-      ReportRequestLimit{PartName(m_part), attempt.m_endpoint, result.m_statement.m_limit_per_s, m_node});
+      ReportConstraint{PartName(m_part), attempt.m_endpoint, result.m_statement.m_limit_per_s, m_node});
 }
 
 bool FairDispatcher::PathsFailing(Instant now) { return m_paths.Failing(m_endpoints.All().size(), now); }
--- a/fescueramp/membership/gossip_codec.cc
+++ b/fescueramp/membership/gossip_codec.cc
@@ -50,13 +50,13 @@
                    message.m_revision,
                    std::move(updates),
                    message.m_digest};
-  if (message.m_leaving_version > 0 || !message.m_limits.empty()) {
+  if (message.m_leaving_version > 0 || !message.m_constraints.empty()) {
     body.push_back(message.m_leaving_version);
     body.push_back(ToJson(message.m_leaving_endpoints));
   }
-  if (!message.m_limits.empty()) {
-    body.push_back(message.m_limits_version);
-    body.push_back(ToCompactJson(message.m_limits));
+  if (!message.m_constraints.empty()) {
+    body.push_back(message.m_constraints_version);
+    body.push_back(ToCompactJson(message.m_constraints));
   }
   const std::string text = json::serialize(body);
   return HmacHex(key, text, kMacHexDigits) + text;
@@ -88,8 +88,8 @@
       message.m_leaving_endpoints = FromJson<std::vector<std::string>>(body.at(8));
     }
     if (body.size() > 10) {
-      message.m_limits_version = FromJson<std::int64_t>(body.at(9));
-      message.m_limits = FromJson<std::vector<EndpointLimit>>(body.at(10));
+      message.m_constraints_version = FromJson<std::int64_t>(body.at(9));
+      message.m_constraints = FromJson<std::vector<AnnouncedConstraint>>(body.at(10));
     }
     return message;
   } catch (const std::exception&) {
--- a/fescueramp/membership/member.h
+++ b/fescueramp/membership/member.h
@@ -7,7 +7,7 @@
 
 #include "fescueramp/core/enum_table.h"
 #include "fescueramp/core/time.h"
-#include "fescueramp/dispatch/endpoint_limit.h"
+#include "fescueramp/dispatch/announced_constraint.h"
 
 namespace fescueramp {
 
@@ -61,12 +61,12 @@
   std::vector<std::string> m_leaving_endpoints;  ///< Endpoints that the platform lists as leaving.
   std::int64_t m_leaving_version = 0;            ///< Version of that list.
   std::int64_t m_digest = 0;  ///< Hash of the alive, suspect and leaving members known to the sender.
-  std::vector<EndpointLimit> m_limits;  ///< Limits of endpoints that the sender sends requests to.
-  std::int64_t m_limits_version = 0;    ///< Grows with each message of the sender that has limits.
+  std::vector<AnnouncedConstraint> m_constraints;  ///< Limits of endpoints that the sender sends requests to.
+  std::int64_t m_constraints_version = 0;  ///< Grows with each message of the sender that has constraints.
 };
 BOOST_DESCRIBE_STRUCT(GossipMessage, (),
                       (m_kind, m_from, m_probe, m_target, m_revision, m_updates, m_leaving_endpoints,
-                       m_leaving_version, m_digest, m_limits, m_limits_version))
+                       m_leaving_version, m_digest, m_constraints, m_constraints_version))
 
 /// Sends one gossip datagram.
 struct SendGossip {
--- a/fescueramp/membership/membership.cc
+++ b/fescueramp/membership/membership.cc
@@ -246,16 +246,17 @@
   }
 }
 
-void Membership::SendLimits(const std::string& node, const std::vector<EndpointLimit>& limits, Instant now) {
+void Membership::SendConstraints(const std::string& node, const std::vector<AnnouncedConstraint>& constraints,
+                                 Instant now) {
   const auto member = m_members.find(node);
   if (member == m_members.end() || node == m_self) return;
-  const auto step = static_cast<std::size_t>(m_settings.m_limits_per_message);
-  for (std::size_t first = 0; first < limits.size(); first += step) {
+  const auto step = static_cast<std::size_t>(m_settings.m_constraints_per_message);
+  for (std::size_t first = 0; first < constraints.size(); first += step) {
     GossipMessage message = MakeMessage(GossipKind::kAnnounce);
-    const std::size_t last = std::min(limits.size(), first + step);
-    message.m_limits.assign(limits.begin() + static_cast<std::ptrdiff_t>(first),
-                            limits.begin() + static_cast<std::ptrdiff_t>(last));
-    message.m_limits_version = now.time_since_epoch().count();
+    const std::size_t last = std::min(constraints.size(), first + step);
+    message.m_constraints.assign(constraints.begin() + static_cast<std::ptrdiff_t>(first),
+                                 constraints.begin() + static_cast<std::ptrdiff_t>(last));
+    message.m_constraints_version = now.time_since_epoch().count();
     Send(member->second, std::move(message));
   }
 }
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -26,9 +26,9 @@
 /// Time allowed for nodes to find one another.
 constexpr Duration kWatchStartDelay = std::chrono::milliseconds(1500);
 /// Time between two announcements of limits; a third of the time for which an announcement counts.
-constexpr Duration kLimitAnnouncementPeriod = std::chrono::seconds(1);
+constexpr Duration kConstraintAnnouncementPeriod = std::chrono::seconds(1);
 /// First nodes of the owner order that are told of limits: the owner and those that take over from it.
-constexpr std::size_t kLimitReceivers = 3;
+constexpr std::size_t kConstraintReceivers = 3;
 /// Longest search for other nodes before this node is ready.
 constexpr Duration kDiscoveryTimeout = std::chrono::seconds(2);
 
@@ -67,8 +67,8 @@
 
 void NodeReducer::Handle(const Tick&, Instant now) {
   m_membership.Tick(now);
-  m_limits->Expire(now);
-  AnnounceLimits(now);
+  m_constraints->Expire(now);
+  AnnounceConstraints(now);
   for (auto& [service, dispatcher] : m_dispatchers) {
     DispatchEffects out;
     dispatcher->Tick(now, out);
@@ -204,7 +204,7 @@
       dispatcher = std::make_unique<BaselineDispatcher>(part.m_service, self.m_node, seed);
     } else {
       dispatcher =
-          std::make_unique<FairDispatcher>(part, self.m_node, self.m_zone, HealthSettings{}, m_limits);
+          std::make_unique<FairDispatcher>(part, self.m_node, self.m_zone, HealthSettings{}, m_constraints);
     }
     DispatchEffects out;
     dispatcher->Configure(m_table, out, now);
@@ -328,7 +328,7 @@
     ApplyLeavingEndpoints(now);
     m_membership.AnnounceNow(now);
   }
-  MergeLimits(message, now);
+  MergeConstraints(message, now);
   const auto sender = m_membership.Members().find(message.m_from);
   if (message.m_revision <= Revision() || now < m_fetch_until || sender == m_membership.Members().end())
     return;
@@ -338,24 +338,24 @@
       FetchConfiguration{message.m_from, sender->second.m_address, sender->second.m_link_port, near});
 }
 
-void NodeReducer::MergeLimits(const GossipMessage& message, Instant now) {
-  for (const EndpointLimit& limit : message.m_limits) {
-    if (!m_limits->Merge(limit, message.m_from, message.m_limits_version, now)) continue;
-    m_effects.emplace_back(ReportRequestLimit{{}, limit.m_endpoint, limit.m_per_s, message.m_from});
+void NodeReducer::MergeConstraints(const GossipMessage& message, Instant now) {
+  for (const AnnouncedConstraint& limit : message.m_constraints) {
+    if (!m_constraints->Merge(limit, message.m_from, message.m_constraints_version, now)) continue;
+    m_effects.emplace_back(ReportConstraint{{}, limit.m_endpoint, limit.m_per_s, message.m_from});
   }
 }
 
-void NodeReducer::AnnounceLimits(Instant now) {
-  if (m_limits->Empty() || now < m_next_limit_announcement) return;
-  m_next_limit_announcement = now + kLimitAnnouncementPeriod;
-  const std::set<std::string> senders = m_limits->Senders(now);
+void NodeReducer::AnnounceConstraints(Instant now) {
+  if (m_constraints->Empty() || now < m_next_constraint_announcement) return;
+  m_next_constraint_announcement = now + kConstraintAnnouncementPeriod;
+  const std::set<std::string> senders = m_constraints->Senders(now);
   for (const auto& [name, dispatcher] : m_dispatchers) {
-    const std::vector<EndpointLimit> limits = dispatcher->LimitsInUse(now);
+    const std::vector<AnnouncedConstraint> limits = dispatcher->ConstraintsToAnnounce(now);
     if (limits.empty()) continue;
     std::set<std::string> receivers = senders;
-    for (auto& node : m_ownership.FirstOwners(m_parts.at(name).m_part, kLimitReceivers))
+    for (auto& node : m_ownership.FirstOwners(m_parts.at(name).m_part, kConstraintReceivers))
       receivers.insert(std::move(node));
-    for (const auto& node : receivers) m_membership.SendLimits(node, limits, now);
+    for (const auto& node : receivers) m_membership.SendConstraints(node, limits, now);
   }
 }
 
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -9,7 +9,7 @@
 
 #include "fescueramp/claims/claim_log.h"
 #include "fescueramp/dispatch/dispatcher.h"
-#include "fescueramp/dispatch/request_limits.h"
+#include "fescueramp/dispatch/endpoint_constraints.h"
 #include "fescueramp/membership/membership.h"
 #include "fescueramp/node/effects.h"
 #include "fescueramp/node/entry_requests.h"
@@ -140,8 +140,8 @@
 
   /// Tells the nodes that may take over a part, and those that send to the same endpoints, which endpoints
   /// with a limit this node sends requests to.
-  void AnnounceLimits(Instant now);
-  void MergeLimits(const GossipMessage& message, Instant now);
+  void AnnounceConstraints(Instant now);
+  void MergeConstraints(const GossipMessage& message, Instant now);
   /// Creates the dispatchers of services that this node owns, so that operators see them before the first
   /// request.
   void OpenOwnedDispatchers(Instant now);
@@ -169,8 +169,8 @@
   std::map<std::string, RequestClaim> m_claims;                    ///< By request id.
   std::unordered_map<std::string, std::string> m_part_by_request;  ///< Name of the part, by request id.
   std::map<std::string, DispatchRequest> m_relayed;  ///< Requests relayed to the owner, by request id.
-  std::shared_ptr<RequestLimits> m_limits = std::make_shared<RequestLimits>();
-  Instant m_next_limit_announcement{};
+  std::shared_ptr<EndpointConstraints> m_constraints = std::make_shared<EndpointConstraints>();
+  Instant m_next_constraint_announcement{};
   std::vector<LiveEndpoint> m_live_endpoints;
   std::int64_t m_live_endpoints_version = 0;
   std::int64_t m_list_generation = 0;  ///< Number of endpoint lists accepted.
--- a/unit_tests/broken_dispatcher.h
+++ b/unit_tests/broken_dispatcher.h
@@ -78,7 +78,9 @@
   }
 
   std::vector<EndpointStatus> Endpoints(Instant now) const override { return m_inner->Endpoints(now); }
-  std::vector<EndpointLimit> LimitsInUse(Instant now) const override { return m_inner->LimitsInUse(now); }
+  std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant now) const override {
+    return m_inner->ConstraintsToAnnounce(now);
+  }
   bool PathsFailing(Instant now) override { return m_inner->PathsFailing(now); }
   bool Idle() const override { return m_inner->Idle(); }
 
--- a/unit_tests/limit_fleet.cc
+++ b/unit_tests/limit_fleet.cc
@@ -178,7 +178,8 @@
 }
 
 void LimitFleet::Apply(int node, const SendGossip& effect) {
-  if (!effect.m_message.m_limits.empty()) m_result.m_limit_bytes += EncodeGossip(effect.m_message, {}).size();
+  if (!effect.m_message.m_constraints.empty())
+    m_result.m_limit_bytes += EncodeGossip(effect.m_message, {}).size();
   const int to = static_cast<int>(effect.m_port - kGossipPort);
   if (to < 0 || to >= m_pattern.m_nodes || UniformRandom() < m_pattern.m_datagram_loss) return;
   const GossipReceived event{DiscoveryNode::Node(node).m_address, kGossipPort + node, effect.m_message};
--- a/unit_tests/load_simulator.h
+++ b/unit_tests/load_simulator.h
@@ -81,7 +81,7 @@
   void Apply(const FinishRequest& effect);
   void Apply(const DeliverResponse& effect);
   void Apply(const CancelAttempt& effect);
-  void Apply(const ReportRequestLimit&) {}
+  void Apply(const ReportConstraint&) {}
   void Apply(const ReportHealth& effect) {
     m_ejections += effect.m_change.m_state == HealthState::kEjected ? 1 : 0;
   }
--- a/unit_tests/request_limit_test.cc
+++ b/unit_tests/request_limit_test.cc
@@ -132,7 +132,7 @@
 
 BOOST_DATA_TEST_CASE(OlderStatementNeverRaisesALimit, boost::unit_test::data::make(kLaterStatements), row) {
   const Instant start{seconds(1'700'000'000)};
-  RequestLimits limits;
+  EndpointConstraints limits;
   limits.Observe("i-0", 1, {StatementKind::kValid, 2}, start + seconds(9), start + seconds(10));
   limits.Observe("i-0", row.m_started_ms, row.m_statement, start + seconds(row.m_sent), start + seconds(12));
   BOOST_CHECK(limits.LimitOf("i-0") == row.m_limit_per_s);
@@ -143,7 +143,7 @@
   const char* m_name;
   std::optional<double> m_stated;
   int m_stated_at;  ///< Seconds.
-  EndpointLimit m_announced;
+  AnnouncedConstraint m_announced;
   std::int64_t m_version;
   std::optional<double> m_limit_per_s;  ///< Limit in force afterwards.
 };
@@ -165,7 +165,7 @@
 BOOST_DATA_TEST_CASE(AnnouncementOnlySetsOrLowersALimit, boost::unit_test::data::make(kAnnouncements), row) {
   const Instant start{seconds(1'700'000'000)};
   const Instant stated = start + seconds(row.m_stated_at);
-  RequestLimits limits;
+  EndpointConstraints limits;
   limits.Observe("i-0", 1, {StatementKind::kValid, 4}, start, start + seconds(1));
   limits.Observe("i-0", 1, {StatementKind::kValid, row.m_stated}, stated - std::chrono::milliseconds(1),
                  stated);
