Send no requests to endpoints that state that they are leaving

Cause: nothing read the field on the users' platform; in the native dialect it held only until the next list replaced it. Change: the statement is part of EndpointStatement, read from every response that belongs to the request and its endpoint, and kept by EndpointConstraints for the process of the endpoint that made it. Attempts of all kinds ask there. Dispatchers announce it to the first nodes of the owner order for as long as the endpoint is listed. A list that has the endpoint as ready doesn't undo it, a later start does. AttemptResult::m_draining and ResponseInfo::m_leaving are gone, as the statement holds both; a malformed field no longer hides the others. A statement of a process that has been replaced since the request was sent is ignored. A node that was not told sends one request. DispatchHarness and BrokenDispatcher set the statement where they set m_draining; their checks are the same.

--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -144,6 +144,7 @@
                           {"idle_ms", result.m_idle.count() / 1000},
                           {"statement", EnumName(result.m_statement.m_kind)},
                           {"limit_per_s", ToJson(result.m_statement.m_limit_per_s)},
+                          {"leaving", result.m_statement.m_leaving},
                           {"waited_ms", (record.m_decided - record.m_arrival).count() / 1000},
                           {"rule", EnumName(record.m_rule)},
                           {"doubt_permille", record.m_doubt_permille},
@@ -315,7 +316,6 @@
   const ResponseInfo response_info = co_await response_reader.ReadHead(attempt->m_response_head);
   if (response_reader.SkippedResponses() > 0) m_context.m_metrics->RecordAttempt("foreign_answer");
   result.m_status = attempt->m_response_head.m_status;
-  result.m_draining = response_info.m_leaving;
   result.m_statement = response_info.m_statement;
   if (result.m_statement.m_kind == StatementKind::kMalformed)
     m_context.m_metrics->RecordAttempt("malformed_statement");
--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -294,10 +294,11 @@
 }
 
 void NodeDaemon::RunEffect(const ReportConstraint& effect) {
-  m_log.Write("endpoint_limit", {{"endpoint", effect.m_endpoint},
-                                 {"service", effect.m_service},
-                                 {"limit_per_s", ToJson(effect.m_limit_per_s)},
-                                 {"source", effect.m_source}});
+  m_log.Write("endpoint_constraint", {{"endpoint", effect.m_endpoint},
+                                      {"service", effect.m_service},
+                                      {"limit_per_s", ToJson(effect.m_limit_per_s)},
+                                      {"leaving", effect.m_leaving},
+                                      {"source", effect.m_source}});
 }
 
 void NodeDaemon::RunEffect(const SendGossip& effect) {
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -114,15 +114,16 @@
 };
 BOOST_DESCRIBE_STRUCT(ReportHealth, (), (m_service, m_change))
 
-/// Reports that the request limit of an endpoint changed, for logs.
+/// Reports that a constraint on requests to an endpoint changed, for logs.
 struct ReportConstraint {
   static constexpr const char* kType = "report_constraint";
   std::string m_service;
   std::string m_endpoint;
   std::optional<double> m_limit_per_s;  ///< Nothing if the endpoint has no limit any more.
+  bool m_leaving = false;               ///< Whether the endpoint has stated that it is leaving.
   std::string m_source;                 ///< Node that received the endpoint's statement.
 };
-BOOST_DESCRIBE_STRUCT(ReportConstraint, (), (m_service, m_endpoint, m_limit_per_s, m_source))
+BOOST_DESCRIBE_STRUCT(ReportConstraint, (), (m_service, m_endpoint, m_limit_per_s, m_leaving, m_source))
 
 /// How an attempt ended, as the daemon observed it.
 struct AttemptResult {
@@ -134,12 +135,11 @@
   Duration m_latency{};                ///< From sending the request to the end of the response.
   bool m_body_replayable = true;       ///< Whether the request body can be sent again.
   bool m_answer_started = false;       ///< Whether part of the response was already forwarded to the caller.
-  bool m_draining = false;             ///< Whether the endpoint reported that it is leaving.
   Duration m_idle{};                   ///< Idle time of the connection before the attempt; 0 for a new one.
   EndpointStatement m_statement = {};  ///< From the head of the response, whether or not its body is whole.
 };
 BOOST_DESCRIBE_STRUCT(AttemptResult, (),
                       (m_request_id, m_part, m_attempt, m_outcome, m_status, m_latency, m_body_replayable,
-                       m_answer_started, m_draining, m_idle, m_statement))
+                       m_answer_started, m_idle, m_statement))
 
 }  // namespace fescueramp
--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -54,11 +54,13 @@
   std::string m_reason;
   double m_doubt = 0;  ///< Gray-failure probability of the endpoint, 0 to 1.
   std::optional<double>
-      m_limit_per_s;  ///< Requests a second that it takes from all hosts; nothing: no limit.
+      m_limit_per_s;              ///< Requests a second that it takes from all hosts; nothing: no limit.
+  bool m_states_leaving = false;  ///< Whether it has stated itself that it is leaving.
 };
 BOOST_DESCRIBE_STRUCT(EndpointStatus, (),
                       (m_endpoint, m_state, m_in_service, m_busy, m_usable_slots, m_error_rate,
-                       m_error_evidence, m_latency_evidence, m_ejections, m_reason, m_doubt, m_limit_per_s))
+                       m_error_evidence, m_latency_evidence, m_ejections, m_reason, m_doubt, m_limit_per_s,
+                       m_states_leaving))
 
 /// Queues the requests of one service and chooses when and where each runs.
 /// Deterministic: the same calls give the same effects.
@@ -102,7 +104,7 @@
   /// Returns the state of every endpoint.
   virtual std::vector<EndpointStatus> Endpoints(Instant now) const = 0;
 
-  /// Request limits of the endpoints that this dispatcher has lately sent requests to.
+  /// Constraints on requests to the endpoints of this dispatcher that other nodes should know.
   virtual std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant now) const = 0;
 
   /// Whether network paths from this node to endpoints seem to fail, so that another node may still reach
--- a/fescueramp/dispatch/endpoint_constraints.cc
+++ b/fescueramp/dispatch/endpoint_constraints.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cmath>
+#include <utility>
 
 namespace fescueramp {
 namespace {
@@ -16,18 +17,28 @@
 /// Time for which a response without a limit goes before announcements, which may have been sent earlier.
 constexpr Duration kResponsePrecedence = std::chrono::seconds(1);
 constexpr Duration kRetention = std::chrono::minutes(1);
+/// Exceeds the time for which an endpoint that is leaving may stay listed.
+constexpr Duration kLeavingRetention = std::chrono::hours(1);
 
 }  // namespace
 
 bool EndpointConstraints::Observe(const std::string& endpoint, std::int64_t started_ms,
                                   const EndpointStatement& statement, Instant sent, Instant now) {
-  if (statement.m_kind != StatementKind::kValid) return false;
+  if (statement.m_kind == StatementKind::kNone) return false;
   const auto found = m_entries.find(endpoint);
-  if (found == m_entries.end() && !statement.m_limit_per_s) return false;
+  if (found == m_entries.end() && !statement.m_limit_per_s && !statement.m_leaving) return false;
   Entry& entry = found == m_entries.end() ? m_entries[endpoint] : found->second;
   if (entry.m_started_ms != started_ms) entry = {};
   entry.m_started_ms = started_ms;
+  const bool starts_leaving = statement.m_leaving && SetLeaving(entry, now);
+  return ObserveLimit(entry, statement, sent, now) || starts_leaving;
+}
+
+bool EndpointConstraints::ObserveLimit(Entry& entry, const EndpointStatement& statement, Instant sent,
+                                       Instant now) {
   const std::optional<double> limit = statement.m_limit_per_s;
+  // A field that can't be read may have been the limit, so its absence means nothing.
+  if (statement.m_kind != StatementKind::kValid && !limit) return false;
   const bool lower = limit && (!entry.m_limit_per_s || *limit < *entry.m_limit_per_s);
   if (!lower && sent <= entry.m_received) return false;
   const bool changed = limit != entry.m_limit_per_s;
@@ -39,21 +50,32 @@
   return changed;
 }
 
-bool EndpointConstraints::Merge(const AnnouncedConstraint& limit, const std::string& node,
+bool EndpointConstraints::SetLeaving(Entry& entry, Instant now) {
+  if (std::exchange(entry.m_leaving, true)) return false;
+  entry.m_leaving_since = now;
+  return true;
+}
+
+bool EndpointConstraints::Merge(const AnnouncedConstraint& constraint, const std::string& node,
                                 std::int64_t version, Instant now) {
-  if (!std::isfinite(limit.m_per_s) || limit.m_per_s < 0) return false;
-  Entry& entry = m_entries[limit.m_endpoint];
-  if (limit.m_started_ms < entry.m_started_ms) return false;
-  if (limit.m_started_ms > entry.m_started_ms) entry = {};
-  entry.m_started_ms = limit.m_started_ms;
+  const std::optional<double> limit = constraint.m_limit_per_s;
+  if (limit && (!std::isfinite(*limit) || *limit < 0)) return false;
+  Entry& entry = m_entries[constraint.m_endpoint];
+  if (constraint.m_started_ms < entry.m_started_ms) return false;
+  if (constraint.m_started_ms > entry.m_started_ms) entry = {};
+  entry.m_started_ms = constraint.m_started_ms;
   Sender& sender = entry.m_senders[node];
   if (version <= sender.m_version && now - sender.m_received < kSenderTimeout) return false;
-  sender = {version, now};
+  sender = {version, now, limit.has_value()};
+  const bool starts_leaving = constraint.m_leaving && SetLeaving(entry, now);
+  return (limit && MergeLimit(entry, *limit, now)) || starts_leaving;
+}
+
+bool EndpointConstraints::MergeLimit(Entry& entry, double limit, Instant now) {
   const bool unlimited = !entry.m_limit_per_s;
-  if (unlimited ? now - entry.m_received < kResponsePrecedence : limit.m_per_s >= *entry.m_limit_per_s)
-    return false;
+  if (unlimited ? now - entry.m_received < kResponsePrecedence : limit >= *entry.m_limit_per_s) return false;
   if (unlimited) entry.m_pace = now;
-  entry.m_limit_per_s = limit.m_per_s;
+  entry.m_limit_per_s = limit;
   entry.m_received = now;
   return true;
 }
@@ -63,33 +85,51 @@
   const auto found = m_entries.find(endpoint);
   if (found == m_entries.end()) return std::nullopt;
   const Entry& entry = found->second;
-  if (!entry.m_limit_per_s || now - entry.m_last_sent >= kSenderTimeout) return std::nullopt;
-  return AnnouncedConstraint{endpoint, entry.m_started_ms, *entry.m_limit_per_s};
+  AnnouncedConstraint constraint{endpoint, entry.m_started_ms};
+  if (now - entry.m_last_sent < kSenderTimeout) constraint.m_limit_per_s = entry.m_limit_per_s;
+  constraint.m_leaving = entry.m_leaving;
+  if (!constraint.m_limit_per_s && !constraint.m_leaving) return std::nullopt;
+  return constraint;
+}
+
+bool EndpointConstraints::IsSender(const Sender& sender, Instant now) {
+  return sender.m_has_limit && now - sender.m_received < kSenderTimeout;
 }
 
 std::set<std::string> EndpointConstraints::Senders(Instant now) const {
   std::set<std::string> nodes;
   for (const auto& [endpoint, entry] : m_entries) {
     for (const auto& [node, sender] : entry.m_senders) {
-      if (now - sender.m_received < kSenderTimeout) nodes.insert(node);
+      if (IsSender(sender, now)) nodes.insert(node);
     }
   }
   return nodes;
 }
 
 Duration EndpointConstraints::IntervalOf(const Entry& entry, Instant now) {
-  const auto others = std::count_if(entry.m_senders.begin(), entry.m_senders.end(), [&](const auto& item) {
-    return now - item.second.m_received < kSenderTimeout;
-  });
+  const auto others = std::count_if(entry.m_senders.begin(), entry.m_senders.end(),
+                                    [&](const auto& item) { return IsSender(item.second, now); });
   const double limit = *entry.m_limit_per_s / static_cast<double>(others + 1);
   return limit * ToSeconds(kMaxInterval) > 1 ? FromSeconds(1 / limit) : kMaxInterval;
 }
 
-bool EndpointConstraints::MaySend(const std::string& endpoint, Instant now) const {
-  if (m_entries.empty()) return true;
+const EndpointConstraints::Entry* EndpointConstraints::Find(const std::string& endpoint,
+                                                            std::int64_t started_ms) const {
+  if (m_entries.empty()) return nullptr;
   const auto found = m_entries.find(endpoint);
-  if (found == m_entries.end() || !found->second.m_limit_per_s) return true;
-  return now - found->second.m_pace >= IntervalOf(found->second, now);
+  return found == m_entries.end() || found->second.m_started_ms < started_ms ? nullptr : &found->second;
+}
+
+bool EndpointConstraints::MaySend(const std::string& endpoint, std::int64_t started_ms, Instant now) const {
+  const Entry* entry = Find(endpoint, started_ms);
+  if (!entry) return true;
+  if (entry->m_leaving) return false;
+  return !entry->m_limit_per_s || now - entry->m_pace >= IntervalOf(*entry, now);
+}
+
+bool EndpointConstraints::Leaving(const std::string& endpoint, std::int64_t started_ms) const {
+  const Entry* entry = Find(endpoint, started_ms);
+  return entry && entry->m_leaving;
 }
 
 void EndpointConstraints::RecordSend(const std::string& endpoint, Instant now) {
@@ -108,8 +148,11 @@
 
 void EndpointConstraints::Expire(Instant now) {
   std::erase_if(m_entries, [&](const auto& item) {
-    Instant last = std::max(item.second.m_received, item.second.m_last_sent);
-    for (const auto& [node, sender] : item.second.m_senders) last = std::max(last, sender.m_received);
+    const Entry& entry = item.second;
+    // Without its start time, a restart of the endpoint would not be noticed.
+    if (entry.m_leaving && entry.m_started_ms > 0) return now - entry.m_leaving_since > kLeavingRetention;
+    Instant last = std::max({entry.m_received, entry.m_last_sent, entry.m_leaving_since});
+    for (const auto& [node, sender] : entry.m_senders) last = std::max(last, sender.m_received);
     return now - last > kRetention;
   });
 }
--- a/fescueramp/dispatch/endpoint_constraints.h
+++ b/fescueramp/dispatch/endpoint_constraints.h
@@ -12,39 +12,47 @@
 
 namespace fescueramp {
 
-/// Request limits that endpoints state, as one node knows them, and the pace that follows from them.
+/// What endpoints have stated about the requests that they take, as one node knows it.
 ///
-/// All attempts of the node draw on one pace per endpoint, whichever dispatcher starts them and why. A limit
-/// holds until the endpoint states otherwise in the response to a request that was sent after the limit was
-/// received; responses in progress may be older. Nodes that send to the same endpoint announce it to one
-/// another and share its limit evenly.
+/// All attempts of the node are subject to it, whichever dispatcher starts them and why. They draw on one
+/// pace per endpoint, which follows from its request limit. A limit holds until the endpoint states otherwise
+/// in the response to a request that was sent after the limit was received; responses in progress may be
+/// older. Nodes that send to the same endpoint announce it to one another and share its limit evenly. An
+/// endpoint that states that it is leaving gets no more requests until it has restarted.
 class EndpointConstraints {
  public:
   /// Applies the statement of a response.
-  /// @param started_ms Start time of the endpoint, Unix ms; a limit doesn't outlive a restart of its
+  /// @param started_ms Start time of the endpoint, Unix ms; a statement doesn't outlive a restart of its
   /// endpoint.
   /// @param sent Time at which the request of the response was sent.
-  /// @return Whether the limit changed.
+  /// @return Whether a constraint changed.
   bool Observe(const std::string& endpoint, std::int64_t started_ms, const EndpointStatement& statement,
                Instant sent, Instant now);
 
-  /// Applies the announcement of another node that sends requests to an endpoint. It may set or lower a
-  /// limit; only the endpoint's own responses raise or end it.
+  /// Applies the announcement of another node that dispatches to an endpoint. It may set or lower a limit;
+  /// only the endpoint's own responses raise or end it.
   /// @param version Grows with each announcement of the node; an older announcement is ignored.
-  /// @return Whether the limit changed.
-  bool Merge(const AnnouncedConstraint& limit, const std::string& node, std::int64_t version, Instant now);
+  /// @return Whether a constraint changed.
+  bool Merge(const AnnouncedConstraint& constraint, const std::string& node, std::int64_t version,
+             Instant now);
 
-  /// Limit to announce to other nodes; nothing if the endpoint has none or got no request from here lately.
+  /// Constraint to announce to other nodes; nothing if there is none. A limit is announced only if the
+  /// endpoint got a request from here lately.
   std::optional<AnnouncedConstraint> ToAnnounce(const std::string& endpoint, Instant now) const;
 
   /// Nodes that have announced lately that they send requests to an endpoint with a limit.
   std::set<std::string> Senders(Instant now) const;
 
-  /// Whether no endpoint has stated a limit.
+  /// Whether no endpoint has stated a constraint.
   bool Empty() const { return m_entries.empty(); }
 
-  /// Whether the pace allows a request to an endpoint now.
-  bool MaySend(const std::string& endpoint, Instant now) const;
+  /// Whether an endpoint may get a request now.
+  /// @param started_ms Start time of the endpoint, as listed; what an earlier process of it stated is
+  /// ignored.
+  bool MaySend(const std::string& endpoint, std::int64_t started_ms, Instant now) const;
+
+  /// Whether an endpoint has stated that it is leaving.
+  bool Leaving(const std::string& endpoint, std::int64_t started_ms) const;
 
   /// Records that a request was sent to an endpoint.
   void RecordSend(const std::string& endpoint, Instant now);
@@ -52,7 +60,7 @@
   /// Limit of an endpoint in requests a second; nothing if it has none.
   std::optional<double> LimitOf(const std::string& endpoint) const;
 
-  /// Removes what is known of endpoints that have not been used for a minute.
+  /// Removes what is known of endpoints that have not been used for a minute, or an hour if they are leaving.
   void Expire(Instant now);
 
  private:
@@ -60,22 +68,40 @@
   struct Sender {
     std::int64_t m_version = 0;
     Instant m_received{};
+    bool m_has_limit = false;  ///< Whether the node sends requests and keeps to a share of the limit.
   };
 
   struct Entry {
     std::optional<double> m_limit_per_s;
     std::int64_t m_started_ms = 0;
-    Instant m_received{};  ///< Time at which the statement in force was received.
+    Instant m_received{};  ///< Time at which the limit in force was received.
+    bool m_leaving = false;
+    Instant m_leaving_since{};
     Instant m_last_sent{};
     Instant
         m_pace{};  ///< Time from which the next interval counts; at most `kCatchUp` before the last request.
     std::map<std::string, Sender> m_senders;  ///< Other nodes that send to the endpoint, by name.
   };
 
+  /// Entry that holds for an endpoint; null if there is none.
+  const Entry* Find(const std::string& endpoint, std::int64_t started_ms) const;
+
+  /// Applies the limit of a statement; returns whether the limit changed.
+  static bool ObserveLimit(Entry& entry, const EndpointStatement& statement, Instant sent, Instant now);
+
+  /// Applies an announced limit; returns whether the limit changed.
+  static bool MergeLimit(Entry& entry, double limit, Instant now);
+
+  /// Sets an entry to leaving; returns whether it was not before.
+  static bool SetLeaving(Entry& entry, Instant now);
+
+  /// Whether a node has announced lately that it sends requests to an endpoint.
+  static bool IsSender(const Sender& sender, Instant now);
+
   /// Shortest time between two requests to an endpoint.
   static Duration IntervalOf(const Entry& entry, Instant now);
 
-  std::unordered_map<std::string, Entry> m_entries;  ///< Endpoints that stated a limit, by name.
+  std::unordered_map<std::string, Entry> m_entries;  ///< Endpoints that stated a constraint, by name.
 };
 
 }  // namespace fescueramp
--- a/fescueramp/dispatch/endpoint_statement.h
+++ b/fescueramp/dispatch/endpoint_statement.h
@@ -11,8 +11,8 @@
 /// Whether a response states something about its endpoint.
 enum class StatementKind {
   kNone,       ///< No response of the endpoint was read.
-  kValid,      ///< The response holds for `EndpointStatement`; an absent field means that nothing is stated.
-  kMalformed,  ///< The response has a field with a value that can't be read.
+  kValid,      ///< All fields of the response could be read; an absent one means that nothing is stated.
+  kMalformed,  ///< The response has a field with a value that can't be read, which is ignored.
 };
 
 template <>
@@ -25,7 +25,8 @@
   StatementKind m_kind = StatementKind::kNone;
   /// Requests a second that the endpoint takes from all hosts together; nothing if it states no limit.
   std::optional<double> m_limit_per_s;
+  bool m_leaving = false;  ///< Whether the endpoint is leaving and takes no new requests.
 };
-BOOST_DESCRIBE_STRUCT(EndpointStatement, (), (m_kind, m_limit_per_s))
+BOOST_DESCRIBE_STRUCT(EndpointStatement, (), (m_kind, m_limit_per_s, m_leaving))
 
 }  // namespace fescueramp
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -39,6 +39,7 @@
       state.m_placement = {};
       state.m_connect_failures = 0;
       state.m_backoff_until = {};
+      state.m_process_since = now;
     }
     state.m_name = endpoint.m_name;
     state.m_started_ms = endpoint.m_started_ms;
@@ -91,19 +92,25 @@
 }
 
 std::vector<AnnouncedConstraint> EndpointTable::ConstraintsToAnnounce(Instant now) const {
-  std::vector<AnnouncedConstraint> limits;
-  if (m_constraints->Empty()) return limits;
+  std::vector<AnnouncedConstraint> constraints;
+  if (m_constraints->Empty()) return constraints;
   for (const auto& [name, state] : m_slots) {
-    if (auto limit = m_constraints->ToAnnounce(name, now)) limits.push_back(std::move(*limit));
+    if (auto constraint = m_constraints->ToAnnounce(name, now)) constraints.push_back(std::move(*constraint));
   }
-  return limits;
+  return constraints;
 }
 
 bool EndpointTable::ApplyStatement(const std::string& endpoint, const EndpointStatement& statement,
                                    Instant started, Instant now) {
   const auto found = m_slots.find(endpoint);
   if (found == m_slots.end()) return false;
-  return m_constraints->Observe(endpoint, found->second.m_started_ms, statement, started, now);
+  Slots& state = found->second;
+  // The response is that of a process of the endpoint which has been replaced since.
+  if (started < state.m_process_since) return false;
+  if (!m_constraints->Observe(endpoint, state.m_started_ms, statement, started, now)) return false;
+  Update(state, now);
+  CountReliableSlots(now);
+  return true;
 }
 
 EndpointCoverage EndpointTable::Coverage(Instant now) const {
@@ -122,7 +129,8 @@
 }
 
 void EndpointTable::Update(Slots& state, Instant now) {
-  const bool in_service = state.m_endpoint.m_admin_state == AdminState::kInService && !state.m_leaving;
+  const bool leaving = state.m_leaving || m_constraints->Leaving(state.m_name, state.m_started_ms);
+  const bool in_service = state.m_endpoint.m_admin_state == AdminState::kInService && !leaving;
   m_health.SetInService(state.m_name, in_service);
   const std::int64_t usable = m_health.UsableSlots(state.m_name, now);
   m_total_usable += usable - state.m_usable;
@@ -141,7 +149,8 @@
 }
 
 bool EndpointTable::Meets(const Slots& state, const Need& need, Instant now) const {
-  if (state.m_backoff_until > now || !m_constraints->MaySend(state.m_name, now)) return false;
+  if (state.m_backoff_until > now || !m_constraints->MaySend(state.m_name, state.m_started_ms, now))
+    return false;
   if (need.m_alone && state.m_busy > 0) return false;
   if (need.m_avoid && need.m_avoid->contains(state.m_name)) return false;
   if (!need.m_canary && m_health.State(state.m_name) == HealthState::kCanary) return false;
@@ -273,11 +282,16 @@
   return found != m_slots.end() && found->second.m_placement.Cold(at);
 }
 
-bool EndpointTable::Leaving(const std::string& endpoint) const {
+bool EndpointTable::ListedAsLeaving(const std::string& endpoint) const {
   const auto found = m_slots.find(endpoint);
   return found != m_slots.end() && found->second.m_leaving;
 }
 
+bool EndpointTable::StatesLeaving(const std::string& endpoint) const {
+  const auto found = m_slots.find(endpoint);
+  return found != m_slots.end() && m_constraints->Leaving(endpoint, found->second.m_started_ms);
+}
+
 double EndpointTable::GrayProbability(const std::string& endpoint, Instant now) const {
   const auto found = m_slots.find(endpoint);
   return found == m_slots.end() ? 1 : found->second.m_placement.GrayProbability(now);
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -41,10 +41,11 @@
     std::int64_t m_busy = 0;
     std::map<std::string, std::int64_t> m_busy_by_class;
     bool m_exclusive = false;   ///< Whether a suspect request runs there alone.
-    bool m_leaving = false;     ///< As listed by the platform or reported by the endpoint itself.
+    bool m_leaving = false;     ///< As listed by the platform.
     Instant m_backoff_until{};  ///< No new attempts until then, after a refusal or a failed connect.
     std::int64_t m_connect_failures = 0;  ///< Consecutive failed connects.
     std::int64_t m_started_ms = 0;        ///< Start time of the endpoint, Unix ms; 0 if unknown.
+    Instant m_process_since{};            ///< Time at which that start time was first listed.
     PlacementState m_placement;
     std::map<std::int64_t, Running> m_running;  ///< Attempts in progress by ticket.
     std::int64_t m_hung = 0;                    ///< Slots held by attempts that are probably hanging.
@@ -98,7 +99,7 @@
                Instant now);
 
   /// Applies what an endpoint stated in the response to an attempt that started at `started`.
-  /// @return Whether its request limit changed.
+  /// @return Whether a constraint on requests to it changed.
   bool ApplyStatement(const std::string& endpoint, const EndpointStatement& statement, Instant started,
                       Instant now);
 
@@ -107,7 +108,7 @@
     return m_constraints->LimitOf(endpoint);
   }
 
-  /// Request limits of the endpoints that this node has lately sent requests to.
+  /// Constraints on requests to the endpoints that other nodes should know.
   std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant now) const;
 
   /// Records that an attempt which still holds its slot was abandoned or ended without a response.
@@ -124,8 +125,11 @@
   /// Whether an endpoint was still warming up at time `at`.
   bool Cold(const std::string& endpoint, Instant at) const;
 
-  /// Whether an endpoint is leaving and takes no new requests.
-  bool Leaving(const std::string& endpoint) const;
+  /// Whether the platform lists an endpoint as leaving.
+  bool ListedAsLeaving(const std::string& endpoint) const;
+
+  /// Whether an endpoint has stated that it is leaving.
+  bool StatesLeaving(const std::string& endpoint) const;
 
   /// Probability that an endpoint is in a gray failure; 1 for an unknown endpoint. Status and decision
   /// records call it doubt.
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -69,7 +69,7 @@
     endpoint.m_port = object.m_port;
     endpoint.m_zone = object.m_zone;
     endpoint.m_slots = m_pool.m_slots;
-    endpoint.m_leaving = m_endpoints.Leaving(name);
+    endpoint.m_leaving = m_endpoints.ListedAsLeaving(name);
     endpoints.push_back(std::move(endpoint));
   }
   return endpoints;
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -102,8 +102,9 @@
 void FairDispatcher::ApplyStatement(const Attempt& attempt, const AttemptResult& result, Instant now,
                                     DispatchEffects& out) {
   if (!m_endpoints.ApplyStatement(attempt.m_endpoint, result.m_statement, attempt.m_started, now)) return;
-  out.emplace_back(
-      ReportConstraint{PartName(m_part), attempt.m_endpoint, result.m_statement.m_limit_per_s, m_node});
+  out.emplace_back(ReportConstraint{PartName(m_part), attempt.m_endpoint,
+                                    m_endpoints.LimitOf(attempt.m_endpoint),
+                                    m_endpoints.StatesLeaving(attempt.m_endpoint), m_node});
 }
 
 bool FairDispatcher::PathsFailing(Instant now) { return m_paths.Failing(m_endpoints.All().size(), now); }
@@ -133,7 +134,6 @@
 
 void FairDispatcher::ObserveHealth(const Pending& pending, const Attempt& attempt,
                                    const AttemptResult& result, Instant now, DispatchEffects& out) {
-  if (result.m_draining) m_endpoints.SetLeaving(attempt.m_endpoint, true, now);
   // An attempt that spans a pause of this node's process is no evidence about the endpoint.
   if (attempt.m_started < m_last_pause) return;
   if (result.m_outcome == AttemptOutcome::kShed) {
--- a/fescueramp/dispatch/fair_dispatcher_records.cc
+++ b/fescueramp/dispatch/fair_dispatcher_records.cc
@@ -90,6 +90,7 @@
     status.m_doubt = m_endpoints.GrayProbability(name, now);
     status.m_reason = record.m_reason;
     status.m_limit_per_s = m_endpoints.LimitOf(name);
+    status.m_states_leaving = m_endpoints.StatesLeaving(name);
     statuses.push_back(std::move(status));
   }
   return statuses;
--- a/fescueramp/net/dialect.cc
+++ b/fescueramp/net/dialect.cc
@@ -1,18 +1,45 @@
 #include "fescueramp/net/dialect.h"
 
 namespace fescueramp {
+namespace {
 
-EndpointStatement ReadEndpointStatement(const std::vector<HeaderField>& headers,
-                                        std::string_view limit_field) {
+/// Returns the value of a field; nothing if it is absent, or repeated, as neither value can be preferred
+/// then.
+std::optional<std::string_view> FindSingle(const ResponseHead& head, std::string_view name,
+                                           EndpointStatement& statement) {
+  std::optional<std::string_view> value;
+  for (const HeaderField& field : head.m_headers) {
+    if (ToLower(field.m_name) != name) continue;
+    if (value) {
+      statement.m_kind = StatementKind::kMalformed;
+      return std::nullopt;
+    }
+    value = field.m_value;
+  }
+  return value;
+}
+
+std::optional<double> ReadDecimal(const ResponseHead& head, std::string_view name,
+                                  EndpointStatement& statement) {
+  const auto text = FindSingle(head, name, statement);
+  const auto value = text ? ParseDecimal(*text) : std::nullopt;
+  if (text && !value) statement.m_kind = StatementKind::kMalformed;
+  return value;
+}
+
+bool ReadFlag(const ResponseHead& head, std::string_view name, EndpointStatement& statement) {
+  const auto text = FindSingle(head, name, statement);
+  if (text && *text != "0" && *text != "1") statement.m_kind = StatementKind::kMalformed;
+  return text == "1";
+}
+
+}  // namespace
+
+EndpointStatement ReadEndpointStatement(const ResponseHead& head, const StatementFields& fields) {
   EndpointStatement statement;
   statement.m_kind = StatementKind::kValid;
-  for (const HeaderField& field : headers) {
-    if (ToLower(field.m_name) != limit_field) continue;
-    const auto limit = ParseDecimal(field.m_value);
-    // Of two values, neither can be preferred.
-    if (!limit || statement.m_limit_per_s) return {StatementKind::kMalformed, std::nullopt};
-    statement.m_limit_per_s = limit;
-  }
+  statement.m_limit_per_s = ReadDecimal(head, fields.m_limit, statement);
+  statement.m_leaving = ReadFlag(head, fields.m_leaving, statement);
   return statement;
 }
 
--- a/fescueramp/net/dialect.h
+++ b/fescueramp/net/dialect.h
@@ -37,19 +37,22 @@
   kInvalid,       ///< The response can't come from the endpoint.
 };
 
-/// Classification of an endpoint's response and the state that its header fields report.
+/// Classification of an endpoint's response and what its header fields state.
 struct ResponseInfo {
   ResponseKind m_kind = ResponseKind::kCompleted;
-  bool m_leaving = false;      ///< Whether the endpoint is draining and takes no new work.
   std::int64_t m_idle_ms = 0;  ///< Idle time until the endpoint closes a connection, ms; 0 when unknown.
   /// Set only if the response belongs to the request and its endpoint.
   EndpointStatement m_statement;
 };
 
-/// Reads what a response states about its endpoint.
-/// @param limit_field Name of the field with the request limit, in lower case.
-EndpointStatement ReadEndpointStatement(const std::vector<HeaderField>& headers,
-                                        std::string_view limit_field);
+/// Names of the header fields in which endpoints state something about themselves, in lower case.
+struct StatementFields {
+  std::string_view m_limit;    ///< Requests a second, as a decimal number.
+  std::string_view m_leaving;  ///< "1" if the endpoint is leaving, else "0".
+};
+
+/// Reads what a response states about its endpoint. Fields that can't be read are ignored.
+EndpointStatement ReadEndpointStatement(const ResponseHead& head, const StatementFields& fields);
 
 /// HTTP header fields and statuses used between callers, nodes and endpoints.
 class Dialect {
--- a/fescueramp/net/native_dialect.cc
+++ b/fescueramp/net/native_dialect.cc
@@ -3,6 +3,7 @@
 namespace fescueramp {
 namespace {
 
+constexpr StatementFields kStatementFields{"endpoint-limit", "endpoint-draining"};
 constexpr std::int64_t kFirstServerErrorStatus = 500;
 constexpr std::int64_t kServiceUnavailable = 503;
 constexpr std::int64_t kMillisecondsPerSecond = 1000;
@@ -26,8 +27,7 @@
     info.m_kind = ResponseKind::kOtherRequest;
     return info;
   }
-  info.m_leaving = !FindHeader(head.m_headers, "endpoint-draining").empty();
-  info.m_statement = ReadEndpointStatement(head.m_headers, "endpoint-limit");
+  info.m_statement = ReadEndpointStatement(head, kStatementFields);
   const bool shed =
       head.m_status == kServiceUnavailable && !FindHeader(head.m_headers, "endpoint-shed").empty();
   if (shed)
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -339,9 +339,13 @@
 }
 
 void NodeReducer::MergeConstraints(const GossipMessage& message, Instant now) {
-  for (const AnnouncedConstraint& limit : message.m_constraints) {
-    if (!m_constraints->Merge(limit, message.m_from, message.m_constraints_version, now)) continue;
-    m_effects.emplace_back(ReportConstraint{{}, limit.m_endpoint, limit.m_per_s, message.m_from});
+  for (const AnnouncedConstraint& constraint : message.m_constraints) {
+    if (!m_constraints->Merge(constraint, message.m_from, message.m_constraints_version, now)) continue;
+    m_effects.emplace_back(ReportConstraint{{},
+                                            constraint.m_endpoint,
+                                            m_constraints->LimitOf(constraint.m_endpoint),
+                                            constraint.m_leaving,
+                                            message.m_from});
   }
 }
 
--- a/stand_ins/endpoint_main.cc
+++ b/stand_ins/endpoint_main.cc
@@ -24,10 +24,11 @@
   double m_shed_rate = 0;   ///< Share of requests that are rejected without running.
   bool m_hang = false;      ///< Requests hang until the caller closes; health checks pass.
   std::optional<double> m_limit_per_s;  ///< Request limit that responses state; it is not enforced.
+  bool m_leaving = false;               ///< Responses state that the endpoint is leaving; it serves on.
 };
 BOOST_DESCRIBE_STRUCT(EndpointFaults, (),
                       (m_error_rate, m_slow_factor, m_flap_ms, m_crash_on, m_restart_ms, m_draining,
-                       m_shed_rate, m_hang, m_limit_per_s))
+                       m_shed_rate, m_hang, m_limit_per_s, m_leaving))
 
 /// Log of the requests that the endpoints ran, against which tests check responses. Flushed after each line.
 class RunLog {
@@ -86,9 +87,10 @@
         [this](std::shared_ptr<HttpExchange> exchange) { return HandleRequest(std::move(exchange)); });
   }
 
-  void AddStatedLimit(std::vector<HeaderField>& headers) const {
+  void AddStatements(std::vector<HeaderField>& headers) const {
     if (m_faults.m_limit_per_s)
       headers.push_back({"Endpoint-Limit", std::to_string(*m_faults.m_limit_per_s)});
+    if (m_faults.m_draining || m_faults.m_leaving) headers.push_back({"Endpoint-Draining", "1"});
   }
 
   /// Whether intermittent faults are active now.
@@ -116,8 +118,7 @@
     if (m_faults.m_draining || DrawWithProbability(m_faults.m_shed_rate)) {
       std::vector<HeaderField> headers;
       headers.push_back({"Endpoint-Shed", "1"});
-      AddStatedLimit(headers);
-      if (m_faults.m_draining) headers.push_back({"Endpoint-Draining", "1"});
+      AddStatements(headers);
       co_await exchange->Send(503, std::move(headers), "shed\n");
       co_return;
     }
@@ -180,7 +181,7 @@
     std::vector<HeaderField> headers;
     headers.push_back({"Work-Token", std::string(FindHeader(head.m_headers, "work-token"))});
     headers.push_back({"Content-Type", "application/octet-stream"});
-    AddStatedLimit(headers);
+    AddStatements(headers);
     const std::string answer_bytes(FindHeader(head.m_headers, "answer-bytes"));
     if (!answer_bytes.empty()) {
       body.assign(static_cast<std::size_t>(std::atoll(answer_bytes.c_str())), 'x');
--- a/unit_tests/broken_dispatcher.h
+++ b/unit_tests/broken_dispatcher.h
@@ -50,7 +50,7 @@
 
   void EndAttempt(const AttemptResult& result, Instant now, DispatchEffects& out) override {
     AttemptResult changed = result;
-    if (m_fault == Fault::kUsesLeavingEndpoint) changed.m_draining = false;
+    if (m_fault == Fault::kUsesLeavingEndpoint) changed.m_statement.m_leaving = false;
     m_inner->EndAttempt(changed, now, out);
     InjectFault(out);
   }
--- a/unit_tests/dispatch_harness.cc
+++ b/unit_tests/dispatch_harness.cc
@@ -44,7 +44,7 @@
   result.m_attempt = attempt.m_attempt;
   result.m_outcome = outcome;
   result.m_latency = latency;
-  result.m_draining = draining;
+  if (draining) result.m_statement = {StatementKind::kValid, {}, true};
   DispatchEffects out;
   m_dispatcher->EndAttempt(result, m_clock.Now(), out);
   Apply(std::move(out));
--- a/unit_tests/limit_fleet.cc
+++ b/unit_tests/limit_fleet.cc
@@ -15,6 +15,9 @@
 constexpr Duration kTarget = std::chrono::milliseconds(1500);
 constexpr int kSlots = 6;
 constexpr std::int64_t kGossipPort = 7000;
+constexpr double kStatementTime = 2;  ///< Time in which a node must act on a statement, seconds.
+constexpr Duration kListPeriod = std::chrono::seconds(1);
+constexpr std::int64_t kEndpointStartMs = 1'700'000'000'000;
 
 int IndexOf(const std::string& endpoint) { return std::stoi(endpoint.substr(2)); }
 
@@ -62,15 +65,22 @@
   m_nodes[static_cast<std::size_t>(node)] = std::make_unique<NodeReducer>(settings);
   NodesFound found;
   for (int i = 0; i < m_pattern.m_nodes; ++i) found.m_members.push_back(make_member(i));
-  EndpointsListed listed{1, {}};
+  Post(node, found);
+  Post(node, ConfigurationLoaded{1, {ObjectSetText()}});
+  Post(node, ListEndpoints());
+}
+
+EndpointsListed LimitFleet::ListEndpoints() const {
+  const double restart_at = m_pattern.m_endpoints_restart_at;
+  const bool restarted = restart_at > 0 && Seconds() >= restart_at;
+  EndpointsListed listed{restarted ? 2 : 1, {}};
   for (int i = 0; i < m_pattern.m_endpoints; ++i) {
     LiveEndpoint endpoint = MakeLiveEndpoint("i-" + std::to_string(i));
     endpoint.m_slots = kSlots;
+    endpoint.m_started_ms = kEndpointStartMs + (restarted && i < m_pattern.m_limited_endpoints ? 1 : 0);
     listed.m_endpoints.push_back(endpoint);
   }
-  Post(node, found);
-  Post(node, ConfigurationLoaded{1, {ObjectSetText()}});
-  Post(node, listed);
+  return listed;
 }
 
 LimitResult LimitFleet::Run() {
@@ -89,8 +99,13 @@
     if (!restarted && Seconds() >= m_pattern.m_restart_at) {
       restarted = true;
       std::erase_if(m_endings, [](const auto& item) { return item.second.m_node == 0; });
+      std::erase_if(m_stated_to, [](const auto& item) { return item.first.second == 0; });
       StartNode(0);
     }
+    if (m_now >= m_next_list) {
+      m_next_list = m_now + kListPeriod;
+      for (int node = 0; node < m_pattern.m_nodes; ++node) Post(node, ListEndpoints());
+    }
     for (int node = 0; node < m_pattern.m_nodes; ++node) Post(node, Tick{});
     pending_arrivals += m_pattern.m_arrivals_per_s * ToSeconds(kStep);
     const std::vector<int> dispatchers = m_pattern.m_dispatchers(Seconds());
@@ -150,9 +165,19 @@
   }
 }
 
+void LimitFleet::RecordStatement(const std::string& endpoint, int node, double at) {
+  const auto [first, added] = m_result.m_first_stated.try_emplace(endpoint, at);
+  if (!added) first->second = std::min(first->second, at);
+  const auto [to_node, to_node_added] = m_stated_to.try_emplace({endpoint, node}, at);
+  if (!to_node_added) to_node->second = std::min(to_node->second, at);
+}
+
 void LimitFleet::Apply(int node, const StartAttempt& effect) {
   const bool limited = IndexOf(effect.m_endpoint) < m_pattern.m_limited_endpoints;
   m_result.m_arrivals[effect.m_endpoint].push_back(Seconds());
+  const auto stated = m_stated_to.find({effect.m_endpoint, node});
+  if (stated != m_stated_to.end() && Seconds() >= stated->second + kStatementTime)
+    ++m_result.m_sent_after_statement[effect.m_endpoint];
   EndingAttempt ending{node, {}};
   AttemptResult& result = ending.m_event.m_result;
   result.m_request_id = effect.m_request_id;
@@ -171,8 +196,11 @@
   if (answers) {
     const double at = Seconds() + ToSeconds(latency);
     result.m_statement.m_kind = StatementKind::kValid;
-    if (limited && at >= m_pattern.m_stated_from && at < m_pattern.m_stated_until)
-      result.m_statement.m_limit_per_s = m_pattern.m_limit_per_s;
+    if (limited && at >= m_pattern.m_stated_from && at < m_pattern.m_stated_until) {
+      result.m_statement.m_leaving = m_pattern.m_leaving;
+      if (!m_pattern.m_leaving) result.m_statement.m_limit_per_s = m_pattern.m_limit_per_s;
+      RecordStatement(effect.m_endpoint, node, at);
+    }
   }
   m_endings.emplace(m_now + latency, ending);
 }
--- a/unit_tests/limit_fleet.h
+++ b/unit_tests/limit_fleet.h
@@ -21,15 +21,18 @@
   kHalfHanging,  ///< Half of the requests get no response until their deadline.
 };
 
-/// Load on the endpoints of one service, some of which state a request limit.
+/// Load on the endpoints of one service, some of which state a constraint, by default a request limit.
 struct LimitPattern {
   int m_nodes = 4;
   int m_endpoints = 8;
   int m_limited_endpoints = 2;
   double m_limit_per_s = 4;
   double m_arrivals_per_s = 40;
-  double m_stated_from = 6;    ///< Time from which the limit is stated, seconds.
-  double m_stated_until = 26;  ///< Time from which responses state no limit, seconds.
+  bool m_leaving = false;      ///< Whether these endpoints state that they are leaving, and no limit.
+  double m_stated_from = 6;    ///< Time from which the constraint is stated, seconds.
+  double m_stated_until = 26;  ///< Time from which responses state none, seconds.
+  /// Time at which these endpoints restart and are listed with a new start time, seconds; 0: never.
+  double m_endpoints_restart_at = 0;
   double m_seconds = 32;
   bool m_repeatable = true;
   LimitedResponse m_response = LimitedResponse::kSuccess;
@@ -44,6 +47,9 @@
 /// What the endpoints of a LimitFleet saw.
 struct LimitResult {
   std::map<std::string, std::vector<double>> m_arrivals;  ///< Times of requests by endpoint, seconds.
+  std::map<std::string, double> m_first_stated;  ///< Time of the first statement by endpoint, seconds.
+  /// Requests that a node sent to an endpoint 2 s or more after it had got the endpoint's statement.
+  std::map<std::string, int> m_sent_after_statement;
   int m_requests = 0;
   int m_served = 0;
   int m_refused = 0;
@@ -55,8 +61,8 @@
   int MaxArrivals(const std::string& endpoint, double window, double from, double until) const;
 };
 
-/// Runs NodeReducers with one clock, models of endpoints that state limits, and datagrams that are lost,
-/// delayed and reordered. Deterministic for a seed.
+/// Runs NodeReducers with one clock, models of endpoints that state constraints, and datagrams that are lost,
+/// delayed and reordered. All endpoints are listed as ready at any time. Deterministic for a seed.
 class LimitFleet {
  public:
   explicit LimitFleet(LimitPattern pattern);
@@ -75,8 +81,10 @@
   double Seconds() const { return ToSeconds(m_now - m_start); }
   double UniformRandom() { return std::generate_canonical<double, 32>(m_random); }
   void StartNode(int node);
+  EndpointsListed ListEndpoints() const;
   void Post(int node, const Event& event);
   void Send(int node);
+  void RecordStatement(const std::string& endpoint, int node, double at);
   void Apply(int node, const StartAttempt& effect);
   void Apply(int node, const SendGossip& effect);
   void Finish(const std::string& request_id, bool served);
@@ -91,6 +99,9 @@
   std::multimap<Instant, Datagram> m_datagrams;
   std::map<std::string, Instant> m_open_requests;  ///< Arrival times by request id.
   int m_next_request = 0;
+  Instant m_next_list{};
+  /// Times of the first statement by endpoint and the node that got it, seconds.
+  std::map<std::pair<std::string, int>, double> m_stated_to;
   LimitResult m_result;
 };
 
--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -286,6 +286,45 @@
   BOOST_CHECK(statement.m_limit_per_s == row.m_limit_per_s);
 }
 
+/// Header fields of a response and whether it states that its endpoint is leaving.
+struct LeavingFieldCase {
+  const char* m_name;
+  ResponseHead m_head;
+  StatementKind m_kind;
+  bool m_leaving;
+};
+
+std::ostream& operator<<(std::ostream& out, const LeavingFieldCase& row) { return out << row.m_name; }
+
+const HeaderField kLeaving{"Server-Leaving", "1"};
+
+const LeavingFieldCase kLeavingFields[] = {
+    {"no field", MakeHead(200, {kOwnId, kSealed}), StatementKind::kValid, false},
+    {"leaving", MakeHead(200, {kOwnId, kSealed, kLeaving}), StatementKind::kValid, true},
+    {"with a refusal", MakeHead(503, {kOwnId, kNotExecuted, kLeaving}), StatementKind::kValid, true},
+    {"with an error", MakeHead(500, {kOwnId, kSealed, {"server-leaving", "1"}}), StatementKind::kValid, true},
+    {"staying", MakeHead(200, {kOwnId, kSealed, {"Server-Leaving", "0"}}), StatementKind::kValid, false},
+    {"empty", MakeHead(200, {kOwnId, kSealed, {"Server-Leaving", ""}}), StatementKind::kMalformed, false},
+    {"text", MakeHead(200, {kOwnId, kSealed, {"Server-Leaving", "soon"}}), StatementKind::kMalformed, false},
+    {"two values", MakeHead(200, {kOwnId, kSealed, kLeaving, {"Server-Leaving", "0"}}),
+     StatementKind::kMalformed, false},
+    {"beside a malformed limit", MakeHead(200, {kOwnId, kSealed, kLeaving, {"Server-Limit", "few"}}),
+     StatementKind::kMalformed, true},
+    {"response to another request", MakeHead(200, {kOtherId, kSealed, kLeaving}), StatementKind::kNone,
+     false},
+    {"response without a seal", MakeHead(200, {kOwnId, kLeaving}), StatementKind::kNone, false},
+    {"response of another instance", MakeHead(421, {kOwnId, kLeaving}), StatementKind::kNone, false},
+};
+
+BOOST_DATA_TEST_CASE(LeavingIsReadOnlyFromResponsesOfTheEndpoint,
+                     boost::unit_test::data::make(kLeavingFields), row) {
+  AttemptMetadata metadata;
+  metadata.m_caller_id = "r1";
+  const EndpointStatement statement = PlatformDialect().ClassifyResponse(metadata, row.m_head).m_statement;
+  BOOST_CHECK(statement.m_kind == row.m_kind);
+  BOOST_TEST(statement.m_leaving == row.m_leaving);
+}
+
 /// A result and its expected HTTP status.
 struct StatusCase {
   ResultCode m_code;
--- a/unit_tests/request_limit_test.cc
+++ b/unit_tests/request_limit_test.cc
@@ -160,6 +160,7 @@
     {"of a later start of the endpoint", 2, 10, {"i-0", 2, 3}, 2, 3},
     {"that is no number is ignored", 2, 10, {"i-0", 1, std::nan("")}, 2, 2},
     {"that is negative is ignored", 2, 10, {"i-0", 1, -1}, 2, 2},
+    {"without a limit is ignored", 2, 10, {"i-0", 1, {}}, 2, 2},
 };
 
 BOOST_DATA_TEST_CASE(AnnouncementOnlySetsOrLowersALimit, boost::unit_test::data::make(kAnnouncements), row) {
