Send no requests to endpoints that have asked for a pause

Cause: nothing read Retry-After of an endpoint's refusal; the endpoint was tried again after 10 ms. Change: the pause is part of EndpointStatement, read from responses with status 503 that belong to the request and its endpoint: a decimal number of seconds, five minutes at most; dates, negative and repeated values are ignored and counted. EndpointConstraints keeps the longest pause of an endpoint's process, which holds for attempts of all kinds. Other nodes are told what is left of it; they don't pass it on, as they would prolong each other's. Endpoints in a pause don't count as capacity. Log line, gauge endpoints_paused and status show it. DispatchHarness::End takes a statement where it took a flag for one of its fields; its checks are the same.

--- a/fescuectl/commands.cc
+++ b/fescuectl/commands.cc
@@ -213,6 +213,7 @@
                 << status.m_error_rate << ", evidence " << status.m_error_evidence << "/"
                 << status.m_latency_evidence;
       if (status.m_states_leaving) std::cout << ", leaving";
+      if (status.m_pause_ms > 0) std::cout << ", paused for " << status.m_pause_ms << " ms";
       if (status.m_limit_per_s) std::cout << ", limit " << *status.m_limit_per_s << "/s";
       if (!status.m_reason.empty()) std::cout << ", " << status.m_reason;
       std::cout << "\n";
--- a/fescueramp/core/time.h
+++ b/fescueramp/core/time.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <chrono>
+#include <cstdint>
 
 namespace fescueramp {
 
@@ -13,6 +14,11 @@
 /// Converts a span to milliseconds as a floating-point number.
 inline double ToMilliseconds(Duration span) { return static_cast<double>(span.count()) / 1000.0; }
 
+/// Converts a span to milliseconds, rounded towards zero.
+inline std::int64_t WholeMilliseconds(Duration span) {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(span).count();
+}
+
 /// Converts a span to seconds as a floating-point number.
 inline double ToSeconds(Duration span) { return static_cast<double>(span.count()) / 1e6; }
 
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -145,6 +145,7 @@
                           {"statement", EnumName(result.m_statement.m_kind)},
                           {"limit_per_s", ToJson(result.m_statement.m_limit_per_s)},
                           {"leaving", result.m_statement.m_leaving},
+                          {"pause_ms", WholeMilliseconds(result.m_statement.m_pause)},
                           {"waited_ms", (record.m_decided - record.m_arrival).count() / 1000},
                           {"rule", EnumName(record.m_rule)},
                           {"doubt_permille", record.m_doubt_permille},
--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -298,6 +298,7 @@
                                       {"service", effect.m_service},
                                       {"limit_per_s", ToJson(effect.m_limit_per_s)},
                                       {"leaving", effect.m_leaving},
+                                      {"pause_ms", effect.m_pause_ms},
                                       {"source", effect.m_source}});
 }
 
--- a/fescueramp/daemon/node_metrics.cc
+++ b/fescueramp/daemon/node_metrics.cc
@@ -93,6 +93,7 @@
     set("endpoints_used", static_cast<double>(load.m_endpoints_used));
     set("endpoints_avoided", static_cast<double>(load.m_endpoints_avoided));
     set("endpoints_limited", static_cast<double>(load.m_endpoints_limited));
+    set("endpoints_paused", static_cast<double>(load.m_endpoints_paused));
     set("unserved_share", load.m_unserved_share);
   }
 }
--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -121,9 +121,11 @@
   std::string m_endpoint;
   std::optional<double> m_limit_per_s;  ///< Nothing if the endpoint has no limit any more.
   bool m_leaving = false;               ///< Whether the endpoint has stated that it is leaving.
+  std::int64_t m_pause_ms = 0;          ///< Time for which the endpoint takes no requests, ms.
   std::string m_source;                 ///< Node that received the endpoint's statement.
 };
-BOOST_DESCRIBE_STRUCT(ReportConstraint, (), (m_service, m_endpoint, m_limit_per_s, m_leaving, m_source))
+BOOST_DESCRIBE_STRUCT(ReportConstraint, (),
+                      (m_service, m_endpoint, m_limit_per_s, m_leaving, m_pause_ms, m_source))
 
 /// How an attempt ended, as the daemon observed it.
 struct AttemptResult {
--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -34,11 +34,12 @@
   std::int64_t m_endpoints_avoided = 0;
   double m_unserved_share = 0;  ///< Share of the requests that ended recently which were not served, 0 to 1.
   std::int64_t m_endpoints_limited = 0;  ///< Endpoints that state a request limit.
+  std::int64_t m_endpoints_paused = 0;   ///< Endpoints that have asked for a pause.
 };
 BOOST_DESCRIBE_STRUCT(DispatcherLoad, (),
                       (m_service, m_queued, m_running, m_slots, m_slots_in_service, m_floor_slots,
                        m_endpoints, m_endpoints_used, m_endpoints_avoided, m_unserved_share,
-                       m_endpoints_limited))
+                       m_endpoints_limited, m_endpoints_paused))
 
 /// State of one endpoint, for status.
 struct EndpointStatus {
@@ -56,11 +57,12 @@
   std::optional<double>
       m_limit_per_s;              ///< Requests a second that it takes from all hosts; nothing: no limit.
   bool m_states_leaving = false;  ///< Whether it has stated itself that it is leaving.
+  std::int64_t m_pause_ms = 0;    ///< Time for which it takes no requests, as it asked for a pause, ms.
 };
 BOOST_DESCRIBE_STRUCT(EndpointStatus, (),
                       (m_endpoint, m_state, m_in_service, m_busy, m_usable_slots, m_error_rate,
                        m_error_evidence, m_latency_evidence, m_ejections, m_reason, m_doubt, m_limit_per_s,
-                       m_states_leaving))
+                       m_states_leaving, m_pause_ms))
 
 /// Queues the requests of one service and chooses when and where each runs.
 /// Deterministic: the same calls give the same effects.
--- a/fescueramp/dispatch/endpoint_constraints.cc
+++ b/fescueramp/dispatch/endpoint_constraints.cc
@@ -17,6 +17,7 @@
 /// Time for which a response without a limit goes before announcements, which may have been sent earlier.
 constexpr Duration kResponsePrecedence = std::chrono::seconds(1);
 constexpr Duration kRetention = std::chrono::minutes(1);
+constexpr std::int64_t kMaxPauseMs = 300'000;  ///< Limits announced pauses.
 /// Exceeds the time for which an endpoint that is leaving may stay listed.
 constexpr Duration kLeavingRetention = std::chrono::hours(1);
 
@@ -26,12 +27,15 @@
                                   const EndpointStatement& statement, Instant sent, Instant now) {
   if (statement.m_kind == StatementKind::kNone) return false;
   const auto found = m_entries.find(endpoint);
-  if (found == m_entries.end() && !statement.m_limit_per_s && !statement.m_leaving) return false;
+  const bool constrains = statement.m_limit_per_s || statement.m_leaving || statement.m_pause > Duration(0);
+  if (found == m_entries.end() && !constrains) return false;
   Entry& entry = found == m_entries.end() ? m_entries[endpoint] : found->second;
   if (entry.m_started_ms != started_ms) entry = {};
   entry.m_started_ms = started_ms;
   const bool starts_leaving = statement.m_leaving && SetLeaving(entry, now);
-  return ObserveLimit(entry, statement, sent, now) || starts_leaving;
+  const bool pauses = statement.m_pause > Duration(0) && Pause(entry, now + statement.m_pause);
+  if (pauses) entry.m_own_pause_until = entry.m_pause_until;
+  return ObserveLimit(entry, statement, sent, now) || starts_leaving || pauses;
 }
 
 bool EndpointConstraints::ObserveLimit(Entry& entry, const EndpointStatement& statement, Instant sent,
@@ -56,6 +60,12 @@
   return true;
 }
 
+bool EndpointConstraints::Pause(Entry& entry, Instant until) {
+  if (until <= entry.m_pause_until) return false;
+  entry.m_pause_until = until;
+  return true;
+}
+
 bool EndpointConstraints::Merge(const AnnouncedConstraint& constraint, const std::string& node,
                                 std::int64_t version, Instant now) {
   const std::optional<double> limit = constraint.m_limit_per_s;
@@ -68,7 +78,10 @@
   if (version <= sender.m_version && now - sender.m_received < kSenderTimeout) return false;
   sender = {version, now, limit.has_value()};
   const bool starts_leaving = constraint.m_leaving && SetLeaving(entry, now);
-  return (limit && MergeLimit(entry, *limit, now)) || starts_leaving;
+  const auto pause =
+      std::chrono::milliseconds(std::clamp<std::int64_t>(constraint.m_pause_ms, 0, kMaxPauseMs));
+  const bool pauses = pause.count() > 0 && Pause(entry, now + pause);
+  return (limit && MergeLimit(entry, *limit, now)) || starts_leaving || pauses;
 }
 
 bool EndpointConstraints::MergeLimit(Entry& entry, double limit, Instant now) {
@@ -88,7 +101,11 @@
   AnnouncedConstraint constraint{endpoint, entry.m_started_ms};
   if (now - entry.m_last_sent < kSenderTimeout) constraint.m_limit_per_s = entry.m_limit_per_s;
   constraint.m_leaving = entry.m_leaving;
-  if (!constraint.m_limit_per_s && !constraint.m_leaving) return std::nullopt;
+  // Only what the endpoint stated to this node, as nodes would prolong each other's pauses otherwise.
+  const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(entry.m_own_pause_until - now);
+  constraint.m_pause_ms = std::max<std::int64_t>(0, pause.count());
+  const bool constrains = constraint.m_limit_per_s || constraint.m_leaving || constraint.m_pause_ms > 0;
+  if (!constrains) return std::nullopt;
   return constraint;
 }
 
@@ -123,10 +140,15 @@
 bool EndpointConstraints::MaySend(const std::string& endpoint, std::int64_t started_ms, Instant now) const {
   const Entry* entry = Find(endpoint, started_ms);
   if (!entry) return true;
-  if (entry->m_leaving) return false;
+  if (entry->m_leaving || now < entry->m_pause_until) return false;
   return !entry->m_limit_per_s || now - entry->m_pace >= IntervalOf(*entry, now);
 }
 
+Instant EndpointConstraints::PausedUntil(const std::string& endpoint, std::int64_t started_ms) const {
+  const Entry* entry = Find(endpoint, started_ms);
+  return entry ? entry->m_pause_until : Instant{};
+}
+
 bool EndpointConstraints::Leaving(const std::string& endpoint, std::int64_t started_ms) const {
   const Entry* entry = Find(endpoint, started_ms);
   return entry && entry->m_leaving;
@@ -151,7 +173,8 @@
     const Entry& entry = item.second;
     // Without its start time, a restart of the endpoint would not be noticed.
     if (entry.m_leaving && entry.m_started_ms > 0) return now - entry.m_leaving_since > kLeavingRetention;
-    Instant last = std::max({entry.m_received, entry.m_last_sent, entry.m_leaving_since});
+    Instant last =
+        std::max({entry.m_received, entry.m_last_sent, entry.m_leaving_since, entry.m_pause_until});
     for (const auto& [node, sender] : entry.m_senders) last = std::max(last, sender.m_received);
     return now - last > kRetention;
   });
--- a/fescueramp/dispatch/endpoint_constraints.h
+++ b/fescueramp/dispatch/endpoint_constraints.h
@@ -18,7 +18,8 @@
 /// pace per endpoint, which follows from its request limit. A limit holds until the endpoint states otherwise
 /// in the response to a request that was sent after the limit was received; responses in progress may be
 /// older. Nodes that send to the same endpoint announce it to one another and share its limit evenly. An
-/// endpoint that states that it is leaving gets no more requests until it has restarted.
+/// endpoint that states that it is leaving gets no more requests until it has restarted, and one that asked
+/// for a pause none until the pause is over.
 class EndpointConstraints {
  public:
   /// Applies the statement of a response.
@@ -51,6 +52,9 @@
   /// ignored.
   bool MaySend(const std::string& endpoint, std::int64_t started_ms, Instant now) const;
 
+  /// Time until which an endpoint takes no requests, as it or another node stated; in the past if it does.
+  Instant PausedUntil(const std::string& endpoint, std::int64_t started_ms) const;
+
   /// Whether an endpoint has stated that it is leaving.
   bool Leaving(const std::string& endpoint, std::int64_t started_ms) const;
 
@@ -77,6 +81,8 @@
     Instant m_received{};  ///< Time at which the limit in force was received.
     bool m_leaving = false;
     Instant m_leaving_since{};
+    Instant m_own_pause_until{};  ///< As the endpoint stated in a response to this node.
+    Instant m_pause_until{};      ///< As the endpoint or another node stated; at least `m_own_pause_until`.
     Instant m_last_sent{};
     Instant
         m_pace{};  ///< Time from which the next interval counts; at most `kCatchUp` before the last request.
@@ -95,6 +101,9 @@
   /// Sets an entry to leaving; returns whether it was not before.
   static bool SetLeaving(Entry& entry, Instant now);
 
+  /// Prolongs the pause of an entry; returns whether it is longer than before.
+  static bool Pause(Entry& entry, Instant until);
+
   /// Whether a node has announced lately that it sends requests to an endpoint.
   static bool IsSender(const Sender& sender, Instant now);
 
--- a/fescueramp/dispatch/endpoint_statement.h
+++ b/fescueramp/dispatch/endpoint_statement.h
@@ -5,6 +5,7 @@
 #include <optional>
 
 #include "fescueramp/core/enum_table.h"
+#include "fescueramp/core/time.h"
 
 namespace fescueramp {
 
@@ -26,7 +27,8 @@
   /// Requests a second that the endpoint takes from all hosts together; nothing if it states no limit.
   std::optional<double> m_limit_per_s;
   bool m_leaving = false;  ///< Whether the endpoint is leaving and takes no new requests.
+  Duration m_pause{};      ///< Time for which it takes no requests from this node; 0 if it states none.
 };
-BOOST_DESCRIBE_STRUCT(EndpointStatement, (), (m_kind, m_limit_per_s, m_leaving))
+BOOST_DESCRIBE_STRUCT(EndpointStatement, (), (m_kind, m_limit_per_s, m_leaving, m_pause))
 
 }  // namespace fescueramp
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -74,14 +74,18 @@
 void EndpointTable::CountReliableSlots(Instant now) {
   m_reliable_slots = 0;
   m_responsive_slots = 0;
+  Instant all_paused_until = Instant::max();
   for (const auto& [name, state] : m_slots) {
-    if (state.m_backoff_until > now) continue;
+    const Instant paused_until = m_constraints->PausedUntil(name, state.m_started_ms);
+    if (state.m_usable > 0) all_paused_until = std::min(all_paused_until, paused_until);
+    if (state.m_backoff_until > now || paused_until > now) continue;
     const std::int64_t reliable = AllowedSlots(state, kMaxCountedGrayProbability, now);
     const std::int64_t responsive = std::max<std::int64_t>(0, reliable - state.m_hung);
     const double within_limit = SlotsWithinLimit(state);
     m_reliable_slots += std::min(static_cast<double>(reliable), within_limit);
     m_responsive_slots += std::min(static_cast<double>(responsive), within_limit);
   }
+  m_all_paused_until = all_paused_until == Instant::max() ? Instant{} : all_paused_until;
 }
 
 double EndpointTable::SlotsWithinLimit(const Slots& state) const {
@@ -287,6 +291,12 @@
   return found != m_slots.end() && found->second.m_leaving;
 }
 
+Duration EndpointTable::PauseLeft(const std::string& endpoint, Instant now) const {
+  const auto found = m_slots.find(endpoint);
+  if (found == m_slots.end()) return Duration(0);
+  return std::max(Duration(0), m_constraints->PausedUntil(endpoint, found->second.m_started_ms) - now);
+}
+
 bool EndpointTable::StatesLeaving(const std::string& endpoint) const {
   const auto found = m_slots.find(endpoint);
   return found != m_slots.end() && m_constraints->Leaving(endpoint, found->second.m_started_ms);
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <cstdint>
 #include <map>
 #include <memory>
@@ -128,6 +129,13 @@
   /// Whether the platform lists an endpoint as leaving.
   bool ListedAsLeaving(const std::string& endpoint) const;
 
+  /// Time until an endpoint that has asked for a pause takes requests again; 0 if it does.
+  Duration PauseLeft(const std::string& endpoint, Instant now) const;
+
+  /// Time until the first endpoint in service takes requests again; 0 unless all of them have asked for a
+  /// pause.
+  Duration PauseLeft(Instant now) const { return std::max(Duration(0), m_all_paused_until - now); }
+
   /// Whether an endpoint has stated that it is leaving.
   bool StatesLeaving(const std::string& endpoint) const;
 
@@ -152,7 +160,8 @@
   void Refresh(Instant now);
 
   /// Slots, busy ones included, of endpoints that are probably not in a gray failure. An endpoint with a
-  /// request limit counts with as many slots as requests at that rate keep busy.
+  /// request limit counts with as many slots as requests at that rate keep busy, one that has asked for a
+  /// pause with none.
   double ReliableSlots() const { return m_reliable_slots; }
 
   /// Reliable slots without those held by attempts that are probably hanging.
@@ -210,6 +219,8 @@
   std::shared_ptr<EndpointConstraints> m_constraints;
   double m_reliable_slots = 0;  ///< See `ReliableSlots`.
   double m_responsive_slots = 0;
+  /// Time until which no endpoint in service takes requests, as all have asked for a pause.
+  Instant m_all_paused_until{};
   std::int64_t m_total_usable = 0;
   std::int64_t m_total_busy = 0;
   std::int64_t m_use_counter = 0;
--- a/fescueramp/dispatch/fair_dispatcher_records.cc
+++ b/fescueramp/dispatch/fair_dispatcher_records.cc
@@ -67,8 +67,10 @@
   load.m_endpoints_used = coverage.m_used;
   load.m_endpoints_avoided = coverage.m_avoided;
   load.m_unserved_share = UnservedShare(now);
-  for (const auto& [name, slots] : m_endpoints.All())
+  for (const auto& [name, slots] : m_endpoints.All()) {
     load.m_endpoints_limited += m_endpoints.LimitOf(name) ? 1 : 0;
+    load.m_endpoints_paused += m_endpoints.PauseLeft(name, now) > Duration(0) ? 1 : 0;
+  }
   return load;
 }
 
@@ -91,6 +93,7 @@
     status.m_reason = record.m_reason;
     status.m_limit_per_s = m_endpoints.LimitOf(name);
     status.m_states_leaving = m_endpoints.StatesLeaving(name);
+    status.m_pause_ms = WholeMilliseconds(m_endpoints.PauseLeft(name, now));
     statuses.push_back(std::move(status));
   }
   return statuses;
--- a/fescueramp/net/dialect.cc
+++ b/fescueramp/net/dialect.cc
@@ -1,8 +1,14 @@
 #include "fescueramp/net/dialect.h"
 
+#include <algorithm>
+
 namespace fescueramp {
 namespace {
 
+constexpr std::int64_t kServiceUnavailable = 503;
+/// Limits pauses, so that no value takes an endpoint out of use for good.
+constexpr double kMaxPauseSeconds = 300;
+
 /// Returns the value of a field; nothing if it is absent, or repeated, as neither value can be preferred
 /// then.
 std::optional<std::string_view> FindSingle(const ResponseHead& head, std::string_view name,
@@ -40,6 +46,10 @@
   statement.m_kind = StatementKind::kValid;
   statement.m_limit_per_s = ReadDecimal(head, fields.m_limit, statement);
   statement.m_leaving = ReadFlag(head, fields.m_leaving, statement);
+  if (head.m_status == kServiceUnavailable) {
+    const double seconds = ReadDecimal(head, "retry-after", statement).value_or(0);
+    statement.m_pause = FromSeconds(std::min(seconds, kMaxPauseSeconds));
+  }
   return statement;
 }
 
--- a/fescueramp/net/dialect.h
+++ b/fescueramp/net/dialect.h
@@ -51,7 +51,8 @@
   std::string_view m_leaving;  ///< "1" if the endpoint is leaving, else "0".
 };
 
-/// Reads what a response states about its endpoint. Fields that can't be read are ignored.
+/// Reads what a response states about its endpoint. Fields that can't be read are ignored. The Retry-After of
+/// a refusal is taken in seconds, up to five minutes.
 EndpointStatement ReadEndpointStatement(const ResponseHead& head, const StatementFields& fields);
 
 /// HTTP header fields and statuses used between callers, nodes and endpoints.
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -345,6 +345,7 @@
                                             constraint.m_endpoint,
                                             m_constraints->LimitOf(constraint.m_endpoint),
                                             constraint.m_leaving,
+                                            constraint.m_pause_ms,
                                             message.m_from});
   }
 }
--- a/stand_ins/endpoint_main.cc
+++ b/stand_ins/endpoint_main.cc
@@ -25,10 +25,11 @@
   bool m_hang = false;      ///< Requests hang until the caller closes; health checks pass.
   std::optional<double> m_limit_per_s;  ///< Request limit that responses state; it is not enforced.
   bool m_leaving = false;               ///< Responses state that the endpoint is leaving; it serves on.
+  std::optional<double> m_pause_s;      ///< Pause that rejections ask for, seconds.
 };
 BOOST_DESCRIBE_STRUCT(EndpointFaults, (),
                       (m_error_rate, m_slow_factor, m_flap_ms, m_crash_on, m_restart_ms, m_draining,
-                       m_shed_rate, m_hang, m_limit_per_s, m_leaving))
+                       m_shed_rate, m_hang, m_limit_per_s, m_leaving, m_pause_s))
 
 /// Log of the requests that the endpoints ran, against which tests check responses. Flushed after each line.
 class RunLog {
@@ -119,6 +120,7 @@
       std::vector<HeaderField> headers;
       headers.push_back({"Endpoint-Shed", "1"});
       AddStatements(headers);
+      if (m_faults.m_pause_s) headers.push_back({"Retry-After", std::to_string(*m_faults.m_pause_s)});
       co_await exchange->Send(503, std::move(headers), "shed\n");
       co_return;
     }
--- a/unit_tests/dispatch_harness.cc
+++ b/unit_tests/dispatch_harness.cc
@@ -31,11 +31,11 @@
 }
 
 void DispatchHarness::End(const std::string& request_id, AttemptOutcome outcome, Duration latency,
-                          bool draining) {
+                          const EndpointStatement& statement) {
   const StartAttempt attempt = m_running.at(request_id);
   m_running.erase(request_id);
   --m_busy[attempt.m_endpoint];
-  if (draining) m_leaving.insert(attempt.m_endpoint);
+  if (statement.m_leaving) m_leaving.insert(attempt.m_endpoint);
   const bool did_not_run = outcome == AttemptOutcome::kShed || outcome == AttemptOutcome::kConnectFailed ||
                            outcome == AttemptOutcome::kMisdirected || outcome == AttemptOutcome::kUnreachable;
   if (!did_not_run) m_maybe_ran[request_id] = true;
@@ -44,7 +44,7 @@
   result.m_attempt = attempt.m_attempt;
   result.m_outcome = outcome;
   result.m_latency = latency;
-  if (draining) result.m_statement = {StatementKind::kValid, {}, true};
+  result.m_statement = statement;
   DispatchEffects out;
   m_dispatcher->EndAttempt(result, m_clock.Now(), out);
   Apply(std::move(out));
--- a/unit_tests/dispatch_harness.h
+++ b/unit_tests/dispatch_harness.h
@@ -25,7 +25,7 @@
 
   /// Ends the running attempt of a request.
   void End(const std::string& request_id, AttemptOutcome outcome = AttemptOutcome::kResponded,
-           Duration latency = std::chrono::milliseconds(20), bool draining = false);
+           Duration latency = std::chrono::milliseconds(20), const EndpointStatement& statement = {});
 
   void Cancel(const std::string& request_id);
   void Advance(Duration span);
@@ -43,6 +43,8 @@
 
   /// Result code of an ended request; kOk if it got a response.
   ResultCode CodeOf(const std::string& request_id) const { return m_ended.at(request_id); }
+  /// Delay after which the caller of a request that ended without a response should retry.
+  Duration RetryAfterOf(const std::string& request_id) const { return m_retry_after.at(request_id); }
   bool Ended(const std::string& request_id) const { return m_ended.contains(request_id); }
   std::size_t EndedCount() const { return m_ended.size(); }
 
@@ -61,6 +63,7 @@
   void Apply(DispatchEffects effects);
   void Apply(const StartAttempt& effect);
   void Apply(const FinishRequest& effect) {
+    m_retry_after[effect.m_request_id] = std::chrono::milliseconds(effect.m_retry_after_ms);
     ApplyEnd(effect.m_request_id, static_cast<ResultCode>(effect.m_code));
   }
   void Apply(const DeliverResponse& effect) { ApplyEnd(effect.m_request_id, ResultCode::kOk); }
@@ -80,6 +83,7 @@
   std::map<std::string, int> m_busy;
   std::set<std::string> m_leaving;
   std::map<std::string, ResultCode> m_ended;
+  std::map<std::string, Duration> m_retry_after;
   std::vector<std::string> m_start_order;
   std::vector<DecisionRecord> m_records;
   std::vector<HealthChange> m_health;
--- a/unit_tests/dispatch_test.cc
+++ b/unit_tests/dispatch_test.cc
@@ -217,7 +217,7 @@
   const std::string id = harness.Send("short");
   BOOST_TEST(harness.EndpointOf(id) == "e1");
   BOOST_TEST(!harness.Running(harness.Send("short")));
-  harness.End(id, AttemptOutcome::kResponded, milliseconds(20), true);
+  harness.End(id, AttemptOutcome::kResponded, milliseconds(20), {StatementKind::kValid, {}, true});
   BOOST_TEST(harness.AllRunning().empty());
   harness.Leave("e0", false);
   BOOST_TEST(harness.AllRunning().size() == 1U);
--- a/unit_tests/endpoint_constraint_test.cc
+++ b/unit_tests/endpoint_constraint_test.cc
@@ -1,6 +1,8 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <limits>
+#include <set>
 
 #include "unit_tests/limit_fleet.h"
 
@@ -106,6 +108,83 @@
   BOOST_TEST(constraints.MaySend("i-0", row.m_listed_start, start + seconds(60)) == !row.m_leaving);
 }
 
+/// A load on endpoints that refuse requests and ask for a pause of 2 s, in each 6 s.
+struct PauseCase {
+  const char* m_name;
+  int m_pausing_endpoints;
+  bool m_repeatable;
+  std::vector<int> (*m_dispatchers)(double);
+  double m_restart_at;
+};
+
+std::ostream& operator<<(std::ostream& out, const PauseCase& row) { return out << row.m_name; }
+
+const PauseCase kPauseCases[] = {
+    {"a quarter of the endpoints", 2, true, OneDispatcher, 0},
+    {"non-repeatable requests", 2, false, OneDispatcher, 0},
+    {"all endpoints", 8, true, OneDispatcher, 0},
+    {"two dispatchers at once", 4, true, TwoDispatchers, 0},
+    {"another dispatcher takes over", 4, true, DispatcherChangesOnce, 0},
+    {"the dispatcher changes every 1.5 s", 4, true, DispatcherChangesOften, 0},
+    {"the dispatcher restarts", 4, true, OneDispatcher, 13},
+};
+
+BOOST_DATA_TEST_CASE(EndpointThatAskedForAPauseGetsNoRequests,
+                     boost::unit_test::data::make(kPauseCases) * boost::unit_test::data::xrange(1, 4), row,
+                     seed) {
+  LimitPattern pattern;
+  pattern.m_response = LimitedResponse::kPausing;
+  pattern.m_limited_endpoints = row.m_pausing_endpoints;
+  pattern.m_repeatable = row.m_repeatable;
+  pattern.m_dispatchers = row.m_dispatchers;
+  pattern.m_restart_at = row.m_restart_at;
+  pattern.m_seed = static_cast<unsigned>(seed);
+  const LimitResult result = LimitFleet(pattern).Run();
+  BOOST_TEST(result.m_pauses >= 5);
+  BOOST_TEST(result.m_most_in_pause <= 2);
+  // The endpoints are used between their pauses.
+  BOOST_TEST(result.MaxArrivals("i-0", 4, 10, pattern.m_seconds) >= 5);
+}
+
+/// Pauses that are stated or announced, and the time for which an endpoint then gets no requests.
+struct PauseNewsCase {
+  const char* m_name;
+  Duration m_stated;
+  std::int64_t m_announced_ms;
+  std::int64_t m_announced_start;
+  std::int64_t m_listed_start;
+  Duration m_pause;
+};
+
+std::ostream& operator<<(std::ostream& out, const PauseNewsCase& row) { return out << row.m_name; }
+
+const PauseNewsCase kPauseNews[] = {
+    {"stated", seconds(5), 0, 1, 1, seconds(5)},
+    {"announced", seconds(0), 5000, 1, 1, seconds(5)},
+    {"announced as longer", seconds(2), 5000, 1, 1, seconds(5)},
+    {"announced as shorter", seconds(5), 2000, 1, 1, seconds(5)},
+    {"announced as endless", seconds(0), std::numeric_limits<std::int64_t>::max(), 1, 1, seconds(300)},
+    {"announced as negative", seconds(0), -5000, 1, 1, seconds(0)},
+    {"announced for an earlier start", seconds(2), 5000, 0, 1, seconds(2)},
+    {"listed with a later start", seconds(5), 0, 1, 2, seconds(0)},
+};
+
+BOOST_DATA_TEST_CASE(LongestPauseOfTheProcessHolds, boost::unit_test::data::make(kPauseNews), row) {
+  const Instant now{seconds(1'700'000'000)};
+  EndpointConstraints constraints;
+  constraints.Observe("i-0", 1, {StatementKind::kValid, {}, false, row.m_stated}, now, now);
+  AnnouncedConstraint announced{"i-0", row.m_announced_start};
+  announced.m_pause_ms = row.m_announced_ms;
+  constraints.Merge(announced, "n1", 1, now);
+  const Duration step = std::chrono::milliseconds(1);
+  BOOST_TEST(constraints.MaySend("i-0", row.m_listed_start, now + row.m_pause));
+  if (row.m_pause > seconds(0))
+    BOOST_TEST(!constraints.MaySend("i-0", row.m_listed_start, now + row.m_pause - step));
+  // What another node announced is not passed on.
+  const auto passed_on = constraints.ToAnnounce("i-0", now);
+  BOOST_TEST((passed_on ? passed_on->m_pause_ms : 0) == row.m_stated / std::chrono::milliseconds(1));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/unit_tests/limit_fleet.cc
+++ b/unit_tests/limit_fleet.cc
@@ -16,6 +16,10 @@
 constexpr int kSlots = 6;
 constexpr std::int64_t kGossipPort = 7000;
 constexpr double kStatementTime = 2;  ///< Time in which a node must act on a statement, seconds.
+constexpr double kPausePeriod = 6;    ///< Time between the first refusals of pausing endpoints, seconds.
+constexpr double kRefusalTime = 0.5;  ///< Part of the period in which pausing endpoints refuse, seconds.
+constexpr Duration kPause = std::chrono::seconds(2);
+constexpr Duration kPauseNotice = std::chrono::milliseconds(500);  ///< Time in which a node must act on it.
 constexpr Duration kListPeriod = std::chrono::seconds(1);
 constexpr std::int64_t kEndpointStartMs = 1'700'000'000'000;
 
@@ -100,6 +104,7 @@
       restarted = true;
       std::erase_if(m_endings, [](const auto& item) { return item.second.m_node == 0; });
       std::erase_if(m_stated_to, [](const auto& item) { return item.first.second == 0; });
+      std::erase_if(m_pauses, [](const auto& item) { return item.first.second == 0; });
       StartNode(0);
     }
     if (m_now >= m_next_list) {
@@ -151,8 +156,12 @@
 }
 
 AttemptOutcome LimitFleet::DrawOutcome(bool limited) {
-  if (!limited || m_pattern.m_response == LimitedResponse::kSuccess || UniformRandom() < 0.5)
-    return AttemptOutcome::kResponded;
+  if (!limited || m_pattern.m_response == LimitedResponse::kSuccess) return AttemptOutcome::kResponded;
+  if (m_pattern.m_response == LimitedResponse::kPausing) {
+    const bool refuses = std::fmod(Seconds(), kPausePeriod) < kRefusalTime;
+    return refuses ? AttemptOutcome::kShed : AttemptOutcome::kResponded;
+  }
+  if (UniformRandom() < 0.5) return AttemptOutcome::kResponded;
   switch (m_pattern.m_response) {
     case LimitedResponse::kHalfErrors:
       return AttemptOutcome::kServerError;
@@ -165,6 +174,13 @@
   }
 }
 
+void LimitFleet::CountInPauses(const std::string& endpoint, int node) {
+  for (Pause& pause : m_pauses[{endpoint, node}]) {
+    if (m_now < pause.m_from || m_now >= pause.m_until) continue;
+    m_result.m_most_in_pause = std::max(m_result.m_most_in_pause, ++pause.m_requests);
+  }
+}
+
 void LimitFleet::RecordStatement(const std::string& endpoint, int node, double at) {
   const auto [first, added] = m_result.m_first_stated.try_emplace(endpoint, at);
   if (!added) first->second = std::min(first->second, at);
@@ -175,6 +191,7 @@
 void LimitFleet::Apply(int node, const StartAttempt& effect) {
   const bool limited = IndexOf(effect.m_endpoint) < m_pattern.m_limited_endpoints;
   m_result.m_arrivals[effect.m_endpoint].push_back(Seconds());
+  CountInPauses(effect.m_endpoint, node);
   const auto stated = m_stated_to.find({effect.m_endpoint, node});
   if (stated != m_stated_to.end() && Seconds() >= stated->second + kStatementTime)
     ++m_result.m_sent_after_statement[effect.m_endpoint];
@@ -196,7 +213,14 @@
   if (answers) {
     const double at = Seconds() + ToSeconds(latency);
     result.m_statement.m_kind = StatementKind::kValid;
-    if (limited && at >= m_pattern.m_stated_from && at < m_pattern.m_stated_until) {
+    if (m_pattern.m_response == LimitedResponse::kPausing) {
+      if (result.m_outcome == AttemptOutcome::kShed) {
+        result.m_statement.m_pause = kPause;
+        const Instant refused = m_now + latency;
+        m_pauses[{effect.m_endpoint, node}].push_back({refused + kPauseNotice, refused + kPause, 0});
+        ++m_result.m_pauses;
+      }
+    } else if (limited && at >= m_pattern.m_stated_from && at < m_pattern.m_stated_until) {
       result.m_statement.m_leaving = m_pattern.m_leaving;
       if (!m_pattern.m_leaving) result.m_statement.m_limit_per_s = m_pattern.m_limit_per_s;
       RecordStatement(effect.m_endpoint, node, at);
--- a/unit_tests/limit_fleet.h
+++ b/unit_tests/limit_fleet.h
@@ -19,6 +19,7 @@
   kHalfRefused,  ///< Half of the requests are refused and not run.
   kHalfBroken,   ///< Half of the connections break.
   kHalfHanging,  ///< Half of the requests get no response until their deadline.
+  kPausing,      ///< Requests are refused and a pause is asked for in a part of each period.
 };
 
 /// Load on the endpoints of one service, some of which state a constraint, by default a request limit.
@@ -50,6 +51,9 @@
   std::map<std::string, double> m_first_stated;  ///< Time of the first statement by endpoint, seconds.
   /// Requests that a node sent to an endpoint 2 s or more after it had got the endpoint's statement.
   std::map<std::string, int> m_sent_after_statement;
+  int m_pauses = 0;  ///< Refusals that asked for a pause.
+  int m_most_in_pause =
+      0;  ///< Most requests that a node sent from 0.5 s after such a refusal to the pause's end.
   int m_requests = 0;
   int m_served = 0;
   int m_refused = 0;
@@ -84,6 +88,7 @@
   EndpointsListed ListEndpoints() const;
   void Post(int node, const Event& event);
   void Send(int node);
+  void CountInPauses(const std::string& endpoint, int node);
   void RecordStatement(const std::string& endpoint, int node, double at);
   void Apply(int node, const StartAttempt& effect);
   void Apply(int node, const SendGossip& effect);
@@ -102,6 +107,15 @@
   Instant m_next_list{};
   /// Times of the first statement by endpoint and the node that got it, seconds.
   std::map<std::pair<std::string, int>, double> m_stated_to;
+
+  /// A pause that an endpoint asked for in a refusal.
+  struct Pause {
+    Instant m_from{};
+    Instant m_until{};
+    int m_requests = 0;
+  };
+  std::map<std::pair<std::string, int>, std::vector<Pause>>
+      m_pauses;  ///< By endpoint and the node that got it.
   LimitResult m_result;
 };
 
--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -325,6 +325,55 @@
   BOOST_TEST(statement.m_leaving == row.m_leaving);
 }
 
+/// Header fields of a response and the pause that is read from them.
+struct PauseFieldCase {
+  const char* m_name;
+  ResponseHead m_head;
+  StatementKind m_kind;
+  Duration m_pause;
+};
+
+std::ostream& operator<<(std::ostream& out, const PauseFieldCase& row) { return out << row.m_name; }
+
+ResponseHead MakeRefusal(const std::string& retry_after) {
+  return MakeHead(503, {kOwnId, kNotExecuted, {"Retry-After", retry_after}});
+}
+
+const PauseFieldCase kPauseFields[] = {
+    {"no field", MakeHead(503, {kOwnId, kNotExecuted}), StatementKind::kValid, {}},
+    {"whole seconds", MakeRefusal("2"), StatementKind::kValid, std::chrono::seconds(2)},
+    {"fraction", MakeRefusal("0.25"), StatementKind::kValid, std::chrono::milliseconds(250)},
+    {"zero", MakeRefusal("0"), StatementKind::kValid, {}},
+    {"with a 503 that may have been executed", MakeHead(503, {kOwnId, kSealed, {"retry-after", "2"}}),
+     StatementKind::kValid, std::chrono::seconds(2)},
+    {"very long", MakeRefusal("31536000000"), StatementKind::kValid, std::chrono::minutes(5)},
+    {"without end", MakeRefusal(std::string(400, '9')), StatementKind::kMalformed, {}},
+    {"negative", MakeRefusal("-1"), StatementKind::kMalformed, {}},
+    {"date", MakeRefusal("Wed, 01 Jan 3000 00:00:00 GMT"), StatementKind::kMalformed, {}},
+    {"two values",
+     MakeHead(503, {kOwnId, kNotExecuted, {"Retry-After", "2"}, {"Retry-After", "3"}}),
+     StatementKind::kMalformed,
+     {}},
+    {"with a success", MakeHead(200, {kOwnId, kSealed, {"Retry-After", "2"}}), StatementKind::kValid, {}},
+    {"refusal of another request",
+     MakeHead(503, {kOtherId, kNotExecuted, {"Retry-After", "2"}}),
+     StatementKind::kNone,
+     {}},
+    {"refusal without a request ID",
+     MakeHead(503, {kNotExecuted, {"Retry-After", "2"}}),
+     StatementKind::kNone,
+     {}},
+};
+
+BOOST_DATA_TEST_CASE(PauseIsReadOnlyFromRefusalsOfTheEndpoint, boost::unit_test::data::make(kPauseFields),
+                     row) {
+  AttemptMetadata metadata;
+  metadata.m_caller_id = "r1";
+  const EndpointStatement statement = PlatformDialect().ClassifyResponse(metadata, row.m_head).m_statement;
+  BOOST_CHECK(statement.m_kind == row.m_kind);
+  BOOST_CHECK(statement.m_pause == row.m_pause);
+}
+
 /// A result and its expected HTTP status.
 struct StatusCase {
   ResultCode m_code;
