Refuse requests at once while all endpoints pause for longer than their deadline

Callers saw: requests that waited until their deadline although no endpoint was to take any before it. Cause: the capacity of paused endpoints counted as unknown, and the delay for a retry knew only the queue. Change: PauseLeft is the time until the first endpoint takes requests again. A request that could not start after it is refused as not run; others wait, and their admission counts the time after it only. Refused callers are asked to return after the pause, spread over a time of the same length.

--- a/fescueramp/dispatch/fair_dispatcher_queue.cc
+++ b/fescueramp/dispatch/fair_dispatcher_queue.cc
@@ -12,6 +12,7 @@
 /// Queued requests per reliable slot above which a request is redirected to another part: a quarter of a
 /// service time.
 constexpr double kRedirectBacklog = 0.25;
+constexpr std::int64_t kSpreadSteps = 1024;
 
 /// Time at which a queued request ends. It leaves time to report to the caller that the request was not run,
 /// and is early enough that a request without enough time left is not started. Attempts in progress may run
@@ -58,13 +59,14 @@
 
 AdmissionTime FairDispatcher::AdmissionTimeOf(const Pending& pending, Instant now) const {
   const DispatchRequest& request = pending.m_request;
+  const Instant first_start = now + m_endpoints.PauseLeft(now);
   AdmissionTime time;
   time.m_expected_service_time = RouteServiceTime(request);
-  time.m_deadline = ToSeconds(request.m_deadline - now);
+  time.m_deadline = ToSeconds(request.m_deadline - first_start);
   if (request.m_target_latency_ms > 0) {
     const Instant target = pending.m_arrival + std::chrono::milliseconds(request.m_target_latency_ms);
     // A target that has passed leaves no time; 0 would mean that there is no target.
-    time.m_target = std::max(std::numeric_limits<double>::min(), ToSeconds(target - now));
+    time.m_target = std::max(std::numeric_limits<double>::min(), ToSeconds(target - first_start));
   }
   return time;
 }
@@ -78,8 +80,11 @@
   const auto state = m_classes.find(pending.m_request.m_class_name);
   if (state == m_classes.end()) return Duration(0);
   const Duration service_time = FromSeconds(state->second.m_demand.MeanServiceTime());
-  return RetryAfterDelay(ExpectedWait(state->second, now), service_time,
-                         Hash64(pending.m_request.m_request_id));
+  const std::uint64_t draw = Hash64(pending.m_request.m_request_id);
+  const Duration pause = m_endpoints.PauseLeft(now);
+  // Callers that were refused throughout a pause return over a time of the same length.
+  const Duration spread = pause * static_cast<std::int64_t>(draw % kSpreadSteps) / kSpreadSteps;
+  return pause + spread + RetryAfterDelay(ExpectedWait(state->second, now), service_time, draw);
 }
 
 void FairDispatcher::AddToQueue(Pending& pending, Instant now) {
@@ -123,6 +128,8 @@
   // Before the first list of live endpoints, the wait is unknown. If no list arrives, the queue is handed
   // back.
   if (m_pool.m_discovered && !m_endpoints_received) return false;
+  const Instant last_start = QueueDeadline(pending.m_request, RouteServiceTime(pending.m_request));
+  if (now + m_endpoints.PauseLeft(now) > last_start) return true;
   const Duration wait = ExpectedWait(state, now);
   return m_endpoints.All().empty() || wait > std::chrono::milliseconds(state.m_priority.m_max_wait_ms) ||
          Admit(AdmissionLoadOf(state, now), AdmissionTimeOf(pending, now)) == Admission::kRefuse;
--- a/unit_tests/endpoint_constraint_test.cc
+++ b/unit_tests/endpoint_constraint_test.cc
@@ -4,6 +4,7 @@
 #include <limits>
 #include <set>
 
+#include "unit_tests/dispatch_harness.h"
 #include "unit_tests/limit_fleet.h"
 
 namespace fescueramp {
@@ -146,6 +147,46 @@
   BOOST_TEST(result.MaxArrivals("i-0", 4, 10, pattern.m_seconds) >= 5);
 }
 
+const EndpointStatement kPauseStatement{StatementKind::kValid, {}, false, seconds(5)};
+
+/// A request that arrives while all endpoints have asked for a pause of 5 s.
+struct AllPausedCase {
+  const char* m_name;
+  Duration m_patience;
+  bool m_refused;
+};
+
+std::ostream& operator<<(std::ostream& out, const AllPausedCase& row) { return out << row.m_name; }
+
+const AllPausedCase kAllPaused[] = {
+    {"ends before the pauses", seconds(3), true},
+    {"ends after the pauses", seconds(9), false},
+};
+
+BOOST_DATA_TEST_CASE(RequestThatEndsBeforeAllPausesIsRefusedAtOnce, boost::unit_test::data::make(kAllPaused),
+                     row) {
+  DispatchHarness harness(2, 2);
+  const std::string first = harness.Send("short", "alice", true, seconds(1));
+  for (int endpoint = 0; endpoint < 2; ++endpoint)
+    harness.End(first, AttemptOutcome::kShed, std::chrono::milliseconds(1), kPauseStatement);
+  harness.Advance(std::chrono::milliseconds(20));
+  std::set<Duration> delays;
+  for (int i = 0; i < 8; ++i) {
+    const std::string id = harness.Send("long", "alice", true, row.m_patience);
+    BOOST_TEST(!harness.Running(id));
+    BOOST_TEST(harness.Ended(id) == row.m_refused);
+    if (!row.m_refused) continue;
+    BOOST_TEST((harness.CodeOf(id) == ResultCode::kNotRun));
+    // Not before an endpoint takes requests, and not all at once.
+    BOOST_TEST((harness.RetryAfterOf(id) >= std::chrono::milliseconds(4900)));
+    delays.insert(harness.RetryAfterOf(id));
+  }
+  if (row.m_refused) BOOST_TEST(delays.size() > 1U);
+  harness.Advance(seconds(6));
+  BOOST_TEST(harness.AllRunning().empty() == row.m_refused);
+  BOOST_TEST(harness.Violations().empty());
+}
+
 /// Pauses that are stated or announced, and the time for which an endpoint then gets no requests.
 struct PauseNewsCase {
   const char* m_name;
