Keep statements of processes of an endpoint apart

Cause: found by reading: a response that was attributed to an earlier start of an endpoint cleared what a node had announced of the later one; where starts are not known, two dispatchers would have told each other forever that an endpoint is leaving; a limit of an earlier process still reduced the capacity of the next. Change: only a later start clears what is known; leaving is announced only of endpoints whose start is known, and ends after a minute for the others; limits are looked up for the listed start. One constant bounds pauses.

--- a/bench/fleet_scenarios.py
+++ b/bench/fleet_scenarios.py
@@ -102,6 +102,45 @@
     return result
 
 
+@scenario
+def statements():
+    """Requests that endpoints get after they asked for a pause, stated that they are leaving, or stated a limit."""
+    pool = Pool("dossier", 9, 6, 24000)
+    rounds, refusal_s, pause_s, limit_per_s = 3, 0.4, 2.0, 3.0
+    with run_fleet("statements", "fair", None, [pool], nodes=4) as fleet:
+        start_published(fleet, one_pool_objects(pool))
+        load = fleet.load([stream("read", 300, "/read/{n}", 100)], 40, background=True)
+        time.sleep(4)
+        pauses_at = []
+        for _ in range(rounds):
+            pauses_at.append(time.time())
+            for index in range(3):
+                fleet.endpoint_faults(pool, index, shed_rate=1.0, pause_s=pause_s)
+            time.sleep(refusal_s)
+            for index in range(3):
+                fleet.endpoint_faults(pool, index)
+            time.sleep(6 - refusal_s)
+        leaving_at = time.time()
+        fleet.endpoint_faults(pool, 3, leaving=True)
+        limited_at = time.time()
+        fleet.endpoint_faults(pool, 4, limit_per_s=limit_per_s)
+        time.sleep(14)
+        limited_until = time.time()
+        report = json.loads(load.communicate()[0])["read"]
+
+        def starts(index, since, until):
+            return [run["t_ms"] / 1000.0 for run in fleet.read_runs(pool)
+                    if run["what"] == "started" and run["endpoint"] == index and since <= run["t_ms"] / 1000.0 < until]
+
+        in_pause = [len(starts(index, at + refusal_s + 0.5, at + pause_s)) for at in pauses_at for index in range(3)]
+        limited = starts(4, limited_at + 3, limited_until)
+        return {"most_in_pause": max(in_pause), "target_most_in_pause": 2,
+                "leaving_after_2s": len(starts(3, leaving_at + 2, limited_until)), "target_leaving_after_2s": 0,
+                "most_limited_in_4s": max(sum(at <= other < at + 4 for other in limited) for at in limited + [0]),
+                "target_most_limited_in_4s": limit_per_s * 4 * 1.5 + 5,
+                "sent": report["sent"], "answered": report["answered"], "codes": report["codes"]}
+
+
 @scenario
 def rotate_keys():
     """Requests lost while the link key is rotated on one node after another without a restart."""
--- a/fescueramp/dispatch/endpoint_constraints.cc
+++ b/fescueramp/dispatch/endpoint_constraints.cc
@@ -17,7 +17,6 @@
 /// Time for which a response without a limit goes before announcements, which may have been sent earlier.
 constexpr Duration kResponsePrecedence = std::chrono::seconds(1);
 constexpr Duration kRetention = std::chrono::minutes(1);
-constexpr std::int64_t kMaxPauseMs = 300'000;  ///< Limits announced pauses.
 /// Exceeds the time for which an endpoint that is leaving may stay listed.
 constexpr Duration kLeavingRetention = std::chrono::hours(1);
 
@@ -30,8 +29,7 @@
   const bool constrains = statement.m_limit_per_s || statement.m_leaving || statement.m_pause > Duration(0);
   if (found == m_entries.end() && !constrains) return false;
   Entry& entry = found == m_entries.end() ? m_entries[endpoint] : found->second;
-  if (entry.m_started_ms != started_ms) entry = {};
-  entry.m_started_ms = started_ms;
+  Restart(entry, started_ms);
   const bool starts_leaving = statement.m_leaving && SetLeaving(entry, now);
   const bool pauses = statement.m_pause > Duration(0) && Pause(entry, now + statement.m_pause);
   if (pauses) entry.m_own_pause_until = entry.m_pause_until;
@@ -54,6 +52,12 @@
   return changed;
 }
 
+void EndpointConstraints::Restart(Entry& entry, std::int64_t started_ms) {
+  if (entry.m_started_ms >= started_ms) return;
+  entry = {};
+  entry.m_started_ms = started_ms;
+}
+
 bool EndpointConstraints::SetLeaving(Entry& entry, Instant now) {
   if (std::exchange(entry.m_leaving, true)) return false;
   entry.m_leaving_since = now;
@@ -72,14 +76,13 @@
   if (limit && (!std::isfinite(*limit) || *limit < 0)) return false;
   Entry& entry = m_entries[constraint.m_endpoint];
   if (constraint.m_started_ms < entry.m_started_ms) return false;
-  if (constraint.m_started_ms > entry.m_started_ms) entry = {};
-  entry.m_started_ms = constraint.m_started_ms;
+  Restart(entry, constraint.m_started_ms);
   Sender& sender = entry.m_senders[node];
   if (version <= sender.m_version && now - sender.m_received < kSenderTimeout) return false;
   sender = {version, now, limit.has_value()};
   const bool starts_leaving = constraint.m_leaving && SetLeaving(entry, now);
-  const auto pause =
-      std::chrono::milliseconds(std::clamp<std::int64_t>(constraint.m_pause_ms, 0, kMaxPauseMs));
+  const auto pause = std::chrono::milliseconds(
+      std::clamp<std::int64_t>(constraint.m_pause_ms, 0, WholeMilliseconds(kMaxPause)));
   const bool pauses = pause.count() > 0 && Pause(entry, now + pause);
   return (limit && MergeLimit(entry, *limit, now)) || starts_leaving || pauses;
 }
@@ -100,10 +103,10 @@
   const Entry& entry = found->second;
   AnnouncedConstraint constraint{endpoint, entry.m_started_ms};
   if (now - entry.m_last_sent < kSenderTimeout) constraint.m_limit_per_s = entry.m_limit_per_s;
-  constraint.m_leaving = entry.m_leaving;
+  // Nodes that don't notice a restart would keep telling each other that the endpoint is leaving.
+  constraint.m_leaving = entry.m_leaving && entry.m_started_ms > 0;
   // Only what the endpoint stated to this node, as nodes would prolong each other's pauses otherwise.
-  const auto pause = std::chrono::duration_cast<std::chrono::milliseconds>(entry.m_own_pause_until - now);
-  constraint.m_pause_ms = std::max<std::int64_t>(0, pause.count());
+  constraint.m_pause_ms = std::max<std::int64_t>(0, WholeMilliseconds(entry.m_own_pause_until - now));
   const bool constrains = constraint.m_limit_per_s || constraint.m_leaving || constraint.m_pause_ms > 0;
   if (!constrains) return std::nullopt;
   return constraint;
@@ -163,18 +166,19 @@
   if (entry.m_limit_per_s) entry.m_pace = std::max(entry.m_pace + IntervalOf(entry, now), now - kCatchUp);
 }
 
-std::optional<double> EndpointConstraints::LimitOf(const std::string& endpoint) const {
-  const auto found = m_entries.find(endpoint);
-  return found == m_entries.end() ? std::nullopt : found->second.m_limit_per_s;
+std::optional<double> EndpointConstraints::LimitOf(const std::string& endpoint,
+                                                   std::int64_t started_ms) const {
+  const Entry* entry = Find(endpoint, started_ms);
+  return entry ? entry->m_limit_per_s : std::nullopt;
 }
 
 void EndpointConstraints::Expire(Instant now) {
   std::erase_if(m_entries, [&](const auto& item) {
     const Entry& entry = item.second;
     // Without its start time, a restart of the endpoint would not be noticed.
-    if (entry.m_leaving && entry.m_started_ms > 0) return now - entry.m_leaving_since > kLeavingRetention;
-    Instant last =
-        std::max({entry.m_received, entry.m_last_sent, entry.m_leaving_since, entry.m_pause_until});
+    if (entry.m_leaving)
+      return now - entry.m_leaving_since > (entry.m_started_ms > 0 ? kLeavingRetention : kRetention);
+    Instant last = std::max({entry.m_received, entry.m_last_sent, entry.m_pause_until});
     for (const auto& [node, sender] : entry.m_senders) last = std::max(last, sender.m_received);
     return now - last > kRetention;
   });
--- a/fescueramp/dispatch/endpoint_constraints.h
+++ b/fescueramp/dispatch/endpoint_constraints.h
@@ -62,9 +62,10 @@
   void RecordSend(const std::string& endpoint, Instant now);
 
   /// Limit of an endpoint in requests a second; nothing if it has none.
-  std::optional<double> LimitOf(const std::string& endpoint) const;
+  std::optional<double> LimitOf(const std::string& endpoint, std::int64_t started_ms) const;
 
-  /// Removes what is known of endpoints that have not been used for a minute, or an hour if they are leaving.
+  /// Removes what is known of endpoints that have not been used for a minute, and of those that state that
+  /// they are leaving after an hour, or after a minute if their start time is not known.
   void Expire(Instant now);
 
  private:
@@ -92,6 +93,9 @@
   /// Entry that holds for an endpoint; null if there is none.
   const Entry* Find(const std::string& endpoint, std::int64_t started_ms) const;
 
+  /// Clears what an earlier process of the endpoint stated.
+  static void Restart(Entry& entry, std::int64_t started_ms);
+
   /// Applies the limit of a statement; returns whether the limit changed.
   static bool ObserveLimit(Entry& entry, const EndpointStatement& statement, Instant sent, Instant now);
 
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -89,7 +89,7 @@
 }
 
 double EndpointTable::SlotsWithinLimit(const Slots& state) const {
-  const auto limit = m_constraints->LimitOf(state.m_name);
+  const auto limit = m_constraints->LimitOf(state.m_name, state.m_started_ms);
   const double service_time = m_times.MeanServiceTime();
   if (!limit || service_time <= 0) return std::numeric_limits<double>::infinity();
   return *limit * service_time;
@@ -291,6 +291,12 @@
   return found != m_slots.end() && found->second.m_leaving;
 }
 
+std::optional<double> EndpointTable::LimitOf(const std::string& endpoint) const {
+  const auto found = m_slots.find(endpoint);
+  if (found == m_slots.end()) return std::nullopt;
+  return m_constraints->LimitOf(endpoint, found->second.m_started_ms);
+}
+
 Duration EndpointTable::PauseLeft(const std::string& endpoint, Instant now) const {
   const auto found = m_slots.find(endpoint);
   if (found == m_slots.end()) return Duration(0);
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -105,9 +105,7 @@
                       Instant now);
 
   /// Request limit of an endpoint in requests a second; nothing if it has none.
-  std::optional<double> LimitOf(const std::string& endpoint) const {
-    return m_constraints->LimitOf(endpoint);
-  }
+  std::optional<double> LimitOf(const std::string& endpoint) const;
 
   /// Constraints on requests to the endpoints that other nodes should know.
   std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant now) const;
--- a/fescueramp/net/dialect.cc
+++ b/fescueramp/net/dialect.cc
@@ -6,8 +6,6 @@
 namespace {
 
 constexpr std::int64_t kServiceUnavailable = 503;
-/// Limits pauses, so that no value takes an endpoint out of use for good.
-constexpr double kMaxPauseSeconds = 300;
 
 /// Returns the value of a field; nothing if it is absent, or repeated, as neither value can be preferred
 /// then.
@@ -48,7 +46,7 @@
   statement.m_leaving = ReadFlag(head, fields.m_leaving, statement);
   if (head.m_status == kServiceUnavailable) {
     const double seconds = ReadDecimal(head, "retry-after", statement).value_or(0);
-    statement.m_pause = FromSeconds(std::min(seconds, kMaxPauseSeconds));
+    statement.m_pause = FromSeconds(std::min(seconds, ToSeconds(kMaxPause)));
   }
   return statement;
 }
--- a/fescueramp/net/dialect.h
+++ b/fescueramp/net/dialect.h
@@ -52,7 +52,7 @@
 };
 
 /// Reads what a response states about its endpoint. Fields that can't be read are ignored. The Retry-After of
-/// a refusal is taken in seconds, up to five minutes.
+/// a refusal is taken in seconds, up to `kMaxPause`.
 EndpointStatement ReadEndpointStatement(const ResponseHead& head, const StatementFields& fields);
 
 /// HTTP header fields and statuses used between callers, nodes and endpoints.
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -341,12 +341,13 @@
 void NodeReducer::MergeConstraints(const GossipMessage& message, Instant now) {
   for (const AnnouncedConstraint& constraint : message.m_constraints) {
     if (!m_constraints->Merge(constraint, message.m_from, message.m_constraints_version, now)) continue;
-    m_effects.emplace_back(ReportConstraint{{},
-                                            constraint.m_endpoint,
-                                            m_constraints->LimitOf(constraint.m_endpoint),
-                                            constraint.m_leaving,
-                                            constraint.m_pause_ms,
-                                            message.m_from});
+    m_effects.emplace_back(
+        ReportConstraint{{},
+                         constraint.m_endpoint,
+                         m_constraints->LimitOf(constraint.m_endpoint, constraint.m_started_ms),
+                         constraint.m_leaving,
+                         constraint.m_pause_ms,
+                         message.m_from});
   }
 }
 
--- a/unit_tests/endpoint_constraint_test.cc
+++ b/unit_tests/endpoint_constraint_test.cc
@@ -97,6 +97,7 @@
     {"listed with a later start", {}, 1, 2, false},
     {"listed with an earlier start", {}, 1, 0, true},
     {"a response of a later start", {StatementKind::kValid, {}, false}, 2, 2, false},
+    {"a response of an earlier start", {StatementKind::kValid, {}, false}, 0, 1, true},
     {"a response of a later start that is leaving", {StatementKind::kValid, {}, true}, 2, 2, true},
 };
 
@@ -109,6 +110,18 @@
   BOOST_TEST(constraints.MaySend("i-0", row.m_listed_start, start + seconds(60)) == !row.m_leaving);
 }
 
+BOOST_AUTO_TEST_CASE(LeavingEndsAfterAMinuteIfTheStartIsNotKnown) {
+  const Instant now{seconds(1'700'000'000)};
+  EndpointConstraints constraints;
+  constraints.Observe("i-0", 0, {StatementKind::kValid, {}, true}, now, now);
+  // Another node would keep telling this one.
+  BOOST_TEST(!constraints.ToAnnounce("i-0", now).has_value());
+  constraints.Expire(now + seconds(60));
+  BOOST_TEST(constraints.Leaving("i-0", 0));
+  constraints.Expire(now + seconds(61));
+  BOOST_TEST(!constraints.Leaving("i-0", 0));
+}
+
 /// A load on endpoints that refuse requests and ask for a pause of 2 s, in each 6 s.
 struct PauseCase {
   const char* m_name;
