Look up what an endpoint has stated once per refresh

Change: EndpointConstraints::Get returns all of it; EndpointTable keeps that in the slots of the endpoint, as of the last refresh or statement. Attempts still ask EndpointConstraints itself.

--- a/fescueramp/dispatch/endpoint_constraints.cc
+++ b/fescueramp/dispatch/endpoint_constraints.cc
@@ -32,7 +32,7 @@
   Restart(entry, started_ms);
   const bool starts_leaving = statement.m_leaving && SetLeaving(entry, now);
   const bool pauses = statement.m_pause > Duration(0) && Pause(entry, now + statement.m_pause);
-  if (pauses) entry.m_own_pause_until = entry.m_pause_until;
+  if (pauses) entry.m_own_pause_until = entry.m_constraint.m_paused_until;
   return ObserveLimit(entry, statement, sent, now) || starts_leaving || pauses;
 }
 
@@ -41,12 +41,13 @@
   const std::optional<double> limit = statement.m_limit_per_s;
   // A field that can't be read may have been the limit, so its absence means nothing.
   if (statement.m_kind != StatementKind::kValid && !limit) return false;
-  const bool lower = limit && (!entry.m_limit_per_s || *limit < *entry.m_limit_per_s);
+  const bool lower =
+      limit && (!entry.m_constraint.m_limit_per_s || *limit < *entry.m_constraint.m_limit_per_s);
   if (!lower && sent <= entry.m_received) return false;
-  const bool changed = limit != entry.m_limit_per_s;
+  const bool changed = limit != entry.m_constraint.m_limit_per_s;
   // A request has just been answered, so the first interval begins now.
-  if (limit && !entry.m_limit_per_s) entry.m_pace = now;
-  entry.m_limit_per_s = limit;
+  if (limit && !entry.m_constraint.m_limit_per_s) entry.m_pace = now;
+  entry.m_constraint.m_limit_per_s = limit;
   entry.m_received = now;
   entry.m_last_sent = std::max(entry.m_last_sent, sent);
   return changed;
@@ -59,14 +60,14 @@
 }
 
 bool EndpointConstraints::SetLeaving(Entry& entry, Instant now) {
-  if (std::exchange(entry.m_leaving, true)) return false;
+  if (std::exchange(entry.m_constraint.m_leaving, true)) return false;
   entry.m_leaving_since = now;
   return true;
 }
 
 bool EndpointConstraints::Pause(Entry& entry, Instant until) {
-  if (until <= entry.m_pause_until) return false;
-  entry.m_pause_until = until;
+  if (until <= entry.m_constraint.m_paused_until) return false;
+  entry.m_constraint.m_paused_until = until;
   return true;
 }
 
@@ -88,10 +89,11 @@
 }
 
 bool EndpointConstraints::MergeLimit(Entry& entry, double limit, Instant now) {
-  const bool unlimited = !entry.m_limit_per_s;
-  if (unlimited ? now - entry.m_received < kResponsePrecedence : limit >= *entry.m_limit_per_s) return false;
+  const bool unlimited = !entry.m_constraint.m_limit_per_s;
+  if (unlimited ? now - entry.m_received < kResponsePrecedence : limit >= *entry.m_constraint.m_limit_per_s)
+    return false;
   if (unlimited) entry.m_pace = now;
-  entry.m_limit_per_s = limit;
+  entry.m_constraint.m_limit_per_s = limit;
   entry.m_received = now;
   return true;
 }
@@ -102,9 +104,9 @@
   if (found == m_entries.end()) return std::nullopt;
   const Entry& entry = found->second;
   AnnouncedConstraint constraint{endpoint, entry.m_started_ms};
-  if (now - entry.m_last_sent < kSenderTimeout) constraint.m_limit_per_s = entry.m_limit_per_s;
+  if (now - entry.m_last_sent < kSenderTimeout) constraint.m_limit_per_s = entry.m_constraint.m_limit_per_s;
   // Nodes that don't notice a restart would keep telling each other that the endpoint is leaving.
-  constraint.m_leaving = entry.m_leaving && entry.m_started_ms > 0;
+  constraint.m_leaving = entry.m_constraint.m_leaving && entry.m_started_ms > 0;
   // Only what the endpoint stated to this node, as nodes would prolong each other's pauses otherwise.
   constraint.m_pause_ms = std::max<std::int64_t>(0, WholeMilliseconds(entry.m_own_pause_until - now));
   const bool constrains = constraint.m_limit_per_s || constraint.m_leaving || constraint.m_pause_ms > 0;
@@ -129,7 +131,7 @@
 Duration EndpointConstraints::IntervalOf(const Entry& entry, Instant now) {
   const auto others = std::count_if(entry.m_senders.begin(), entry.m_senders.end(),
                                     [&](const auto& item) { return IsSender(item.second, now); });
-  const double limit = *entry.m_limit_per_s / static_cast<double>(others + 1);
+  const double limit = *entry.m_constraint.m_limit_per_s / static_cast<double>(others + 1);
   return limit * ToSeconds(kMaxInterval) > 1 ? FromSeconds(1 / limit) : kMaxInterval;
 }
 
@@ -143,18 +145,14 @@
 bool EndpointConstraints::MaySend(const std::string& endpoint, std::int64_t started_ms, Instant now) const {
   const Entry* entry = Find(endpoint, started_ms);
   if (!entry) return true;
-  if (entry->m_leaving || now < entry->m_pause_until) return false;
-  return !entry->m_limit_per_s || now - entry->m_pace >= IntervalOf(*entry, now);
+  if (entry->m_constraint.m_leaving || now < entry->m_constraint.m_paused_until) return false;
+  return !entry->m_constraint.m_limit_per_s || now - entry->m_pace >= IntervalOf(*entry, now);
 }
 
-Instant EndpointConstraints::PausedUntil(const std::string& endpoint, std::int64_t started_ms) const {
+EndpointConstraints::Constraint EndpointConstraints::Get(const std::string& endpoint,
+                                                         std::int64_t started_ms) const {
   const Entry* entry = Find(endpoint, started_ms);
-  return entry ? entry->m_pause_until : Instant{};
-}
-
-bool EndpointConstraints::Leaving(const std::string& endpoint, std::int64_t started_ms) const {
-  const Entry* entry = Find(endpoint, started_ms);
-  return entry && entry->m_leaving;
+  return entry ? entry->m_constraint : Constraint{};
 }
 
 void EndpointConstraints::RecordSend(const std::string& endpoint, Instant now) {
@@ -163,22 +161,17 @@
   if (found == m_entries.end()) return;
   Entry& entry = found->second;
   entry.m_last_sent = now;
-  if (entry.m_limit_per_s) entry.m_pace = std::max(entry.m_pace + IntervalOf(entry, now), now - kCatchUp);
-}
-
-std::optional<double> EndpointConstraints::LimitOf(const std::string& endpoint,
-                                                   std::int64_t started_ms) const {
-  const Entry* entry = Find(endpoint, started_ms);
-  return entry ? entry->m_limit_per_s : std::nullopt;
+  if (entry.m_constraint.m_limit_per_s)
+    entry.m_pace = std::max(entry.m_pace + IntervalOf(entry, now), now - kCatchUp);
 }
 
 void EndpointConstraints::Expire(Instant now) {
   std::erase_if(m_entries, [&](const auto& item) {
     const Entry& entry = item.second;
     // Without its start time, a restart of the endpoint would not be noticed.
-    if (entry.m_leaving)
+    if (entry.m_constraint.m_leaving)
       return now - entry.m_leaving_since > (entry.m_started_ms > 0 ? kLeavingRetention : kRetention);
-    Instant last = std::max({entry.m_received, entry.m_last_sent, entry.m_pause_until});
+    Instant last = std::max({entry.m_received, entry.m_last_sent, entry.m_constraint.m_paused_until});
     for (const auto& [node, sender] : entry.m_senders) last = std::max(last, sender.m_received);
     return now - last > kRetention;
   });
--- a/fescueramp/dispatch/endpoint_constraints.h
+++ b/fescueramp/dispatch/endpoint_constraints.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <algorithm>
 #include <map>
 #include <optional>
 #include <set>
@@ -22,6 +23,16 @@
 /// for a pause none until the pause is over.
 class EndpointConstraints {
  public:
+  /// Constraint on requests to one endpoint.
+  struct Constraint {
+    std::optional<double> m_limit_per_s;  ///< Requests a second of all nodes together; nothing: no limit.
+    bool m_leaving = false;               ///< Whether the endpoint has stated that it is leaving.
+    Instant m_paused_until{};             ///< Time until which it takes no requests.
+
+    /// Time until the endpoint takes requests again; 0 if it does.
+    Duration PauseLeft(Instant now) const { return std::max(Duration(0), m_paused_until - now); }
+  };
+
   /// Applies the statement of a response.
   /// @param started_ms Start time of the endpoint, Unix ms; a statement doesn't outlive a restart of its
   /// endpoint.
@@ -52,18 +63,12 @@
   /// ignored.
   bool MaySend(const std::string& endpoint, std::int64_t started_ms, Instant now) const;
 
-  /// Time until which an endpoint takes no requests, as it or another node stated; in the past if it does.
-  Instant PausedUntil(const std::string& endpoint, std::int64_t started_ms) const;
-
-  /// Whether an endpoint has stated that it is leaving.
-  bool Leaving(const std::string& endpoint, std::int64_t started_ms) const;
+  /// Constraint on requests to an endpoint, without the pace of its limit.
+  Constraint Get(const std::string& endpoint, std::int64_t started_ms) const;
 
   /// Records that a request was sent to an endpoint.
   void RecordSend(const std::string& endpoint, Instant now);
 
-  /// Limit of an endpoint in requests a second; nothing if it has none.
-  std::optional<double> LimitOf(const std::string& endpoint, std::int64_t started_ms) const;
-
   /// Removes what is known of endpoints that have not been used for a minute, and of those that state that
   /// they are leaving after an hour, or after a minute if their start time is not known.
   void Expire(Instant now);
@@ -77,13 +82,11 @@
   };
 
   struct Entry {
-    std::optional<double> m_limit_per_s;
+    Constraint m_constraint;
     std::int64_t m_started_ms = 0;
     Instant m_received{};  ///< Time at which the limit in force was received.
-    bool m_leaving = false;
     Instant m_leaving_since{};
     Instant m_own_pause_until{};  ///< As the endpoint stated in a response to this node.
-    Instant m_pause_until{};      ///< As the endpoint or another node stated; at least `m_own_pause_until`.
     Instant m_last_sent{};
     Instant
         m_pace{};  ///< Time from which the next interval counts; at most `kCatchUp` before the last request.
--- a/fescueramp/dispatch/endpoint_table.cc
+++ b/fescueramp/dispatch/endpoint_table.cc
@@ -76,7 +76,7 @@
   m_responsive_slots = 0;
   Instant all_paused_until = Instant::max();
   for (const auto& [name, state] : m_slots) {
-    const Instant paused_until = m_constraints->PausedUntil(name, state.m_started_ms);
+    const Instant paused_until = state.m_constraint.m_paused_until;
     if (state.m_usable > 0) all_paused_until = std::min(all_paused_until, paused_until);
     if (state.m_backoff_until > now || paused_until > now) continue;
     const std::int64_t reliable = AllowedSlots(state, kMaxCountedGrayProbability, now);
@@ -89,10 +89,10 @@
 }
 
 double EndpointTable::SlotsWithinLimit(const Slots& state) const {
-  const auto limit = m_constraints->LimitOf(state.m_name, state.m_started_ms);
+  const std::optional<double>& limit = state.m_constraint.m_limit_per_s;
+  if (!limit) return std::numeric_limits<double>::infinity();
   const double service_time = m_times.MeanServiceTime();
-  if (!limit || service_time <= 0) return std::numeric_limits<double>::infinity();
-  return *limit * service_time;
+  return service_time > 0 ? *limit * service_time : std::numeric_limits<double>::infinity();
 }
 
 std::vector<AnnouncedConstraint> EndpointTable::ConstraintsToAnnounce(Instant now) const {
@@ -133,7 +133,8 @@
 }
 
 void EndpointTable::Update(Slots& state, Instant now) {
-  const bool leaving = state.m_leaving || m_constraints->Leaving(state.m_name, state.m_started_ms);
+  state.m_constraint = m_constraints->Get(state.m_name, state.m_started_ms);
+  const bool leaving = state.m_leaving || state.m_constraint.m_leaving;
   const bool in_service = state.m_endpoint.m_admin_state == AdminState::kInService && !leaving;
   m_health.SetInService(state.m_name, in_service);
   const std::int64_t usable = m_health.UsableSlots(state.m_name, now);
@@ -291,23 +292,6 @@
   return found != m_slots.end() && found->second.m_leaving;
 }
 
-std::optional<double> EndpointTable::LimitOf(const std::string& endpoint) const {
-  const auto found = m_slots.find(endpoint);
-  if (found == m_slots.end()) return std::nullopt;
-  return m_constraints->LimitOf(endpoint, found->second.m_started_ms);
-}
-
-Duration EndpointTable::PauseLeft(const std::string& endpoint, Instant now) const {
-  const auto found = m_slots.find(endpoint);
-  if (found == m_slots.end()) return Duration(0);
-  return std::max(Duration(0), m_constraints->PausedUntil(endpoint, found->second.m_started_ms) - now);
-}
-
-bool EndpointTable::StatesLeaving(const std::string& endpoint) const {
-  const auto found = m_slots.find(endpoint);
-  return found != m_slots.end() && m_constraints->Leaving(endpoint, found->second.m_started_ms);
-}
-
 double EndpointTable::GrayProbability(const std::string& endpoint, Instant now) const {
   const auto found = m_slots.find(endpoint);
   return found == m_slots.end() ? 1 : found->second.m_placement.GrayProbability(now);
--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -41,8 +41,10 @@
     std::int64_t m_usable = 0;
     std::int64_t m_busy = 0;
     std::map<std::string, std::int64_t> m_busy_by_class;
-    bool m_exclusive = false;   ///< Whether a suspect request runs there alone.
-    bool m_leaving = false;     ///< As listed by the platform.
+    bool m_exclusive = false;  ///< Whether a suspect request runs there alone.
+    bool m_leaving = false;    ///< As listed by the platform.
+    /// What the endpoint has stated, as of the last refresh.
+    EndpointConstraints::Constraint m_constraint;
     Instant m_backoff_until{};  ///< No new attempts until then, after a refusal or a failed connect.
     std::int64_t m_connect_failures = 0;  ///< Consecutive failed connects.
     std::int64_t m_started_ms = 0;        ///< Start time of the endpoint, Unix ms; 0 if unknown.
@@ -104,9 +106,6 @@
   bool ApplyStatement(const std::string& endpoint, const EndpointStatement& statement, Instant started,
                       Instant now);
 
-  /// Request limit of an endpoint in requests a second; nothing if it has none.
-  std::optional<double> LimitOf(const std::string& endpoint) const;
-
   /// Constraints on requests to the endpoints that other nodes should know.
   std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant now) const;
 
@@ -127,16 +126,10 @@
   /// Whether the platform lists an endpoint as leaving.
   bool ListedAsLeaving(const std::string& endpoint) const;
 
-  /// Time until an endpoint that has asked for a pause takes requests again; 0 if it does.
-  Duration PauseLeft(const std::string& endpoint, Instant now) const;
-
   /// Time until the first endpoint in service takes requests again; 0 unless all of them have asked for a
   /// pause.
   Duration PauseLeft(Instant now) const { return std::max(Duration(0), m_all_paused_until - now); }
 
-  /// Whether an endpoint has stated that it is leaving.
-  bool StatesLeaving(const std::string& endpoint) const;
-
   /// Probability that an endpoint is in a gray failure; 1 for an unknown endpoint. Status and decision
   /// records call it doubt.
   double GrayProbability(const std::string& endpoint, Instant now) const;
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -102,10 +102,10 @@
 void FairDispatcher::ApplyStatement(const Attempt& attempt, const AttemptResult& result, Instant now,
                                     DispatchEffects& out) {
   if (!m_endpoints.ApplyStatement(attempt.m_endpoint, result.m_statement, attempt.m_started, now)) return;
-  out.emplace_back(
-      ReportConstraint{PartName(m_part), attempt.m_endpoint, m_endpoints.LimitOf(attempt.m_endpoint),
-                       m_endpoints.StatesLeaving(attempt.m_endpoint),
-                       WholeMilliseconds(m_endpoints.PauseLeft(attempt.m_endpoint, now)), m_node});
+  const auto& constraint = m_endpoints.All().at(attempt.m_endpoint).m_constraint;
+  out.emplace_back(ReportConstraint{PartName(m_part), attempt.m_endpoint, constraint.m_limit_per_s,
+                                    constraint.m_leaving, WholeMilliseconds(constraint.PauseLeft(now)),
+                                    m_node});
 }
 
 bool FairDispatcher::PathsFailing(Instant now) { return m_paths.Failing(m_endpoints.All().size(), now); }
--- a/fescueramp/dispatch/fair_dispatcher_records.cc
+++ b/fescueramp/dispatch/fair_dispatcher_records.cc
@@ -68,8 +68,8 @@
   load.m_endpoints_avoided = coverage.m_avoided;
   load.m_unserved_share = UnservedShare(now);
   for (const auto& [name, slots] : m_endpoints.All()) {
-    load.m_endpoints_limited += m_endpoints.LimitOf(name) ? 1 : 0;
-    load.m_endpoints_paused += m_endpoints.PauseLeft(name, now) > Duration(0) ? 1 : 0;
+    load.m_endpoints_limited += slots.m_constraint.m_limit_per_s ? 1 : 0;
+    load.m_endpoints_paused += slots.m_constraint.PauseLeft(now) > Duration(0) ? 1 : 0;
   }
   return load;
 }
@@ -82,7 +82,11 @@
     status.m_state = record.m_state;
     status.m_in_service = record.m_in_service;
     if (const auto slots = m_endpoints.All().find(name); slots != m_endpoints.All().end()) {
+      const EndpointConstraints::Constraint& constraint = slots->second.m_constraint;
       status.m_busy = slots->second.m_busy;
+      status.m_limit_per_s = constraint.m_limit_per_s;
+      status.m_states_leaving = constraint.m_leaving;
+      status.m_pause_ms = WholeMilliseconds(constraint.PauseLeft(now));
     }
     status.m_usable_slots = m_health.UsableSlots(name, now);
     status.m_error_rate = record.m_error_rate.Value();
@@ -91,9 +95,6 @@
     status.m_ejections = record.m_ejections;
     status.m_doubt = m_endpoints.GrayProbability(name, now);
     status.m_reason = record.m_reason;
-    status.m_limit_per_s = m_endpoints.LimitOf(name);
-    status.m_states_leaving = m_endpoints.StatesLeaving(name);
-    status.m_pause_ms = WholeMilliseconds(m_endpoints.PauseLeft(name, now));
     statuses.push_back(std::move(status));
   }
   return statuses;
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -344,7 +344,7 @@
     m_effects.emplace_back(
         ReportConstraint{{},
                          constraint.m_endpoint,
-                         m_constraints->LimitOf(constraint.m_endpoint, constraint.m_started_ms),
+                         m_constraints->Get(constraint.m_endpoint, constraint.m_started_ms).m_limit_per_s,
                          constraint.m_leaving,
                          constraint.m_pause_ms,
                          message.m_from});
--- a/unit_tests/endpoint_constraint_test.cc
+++ b/unit_tests/endpoint_constraint_test.cc
@@ -106,7 +106,7 @@
   EndpointConstraints constraints;
   constraints.Observe("i-0", 1, {StatementKind::kValid, {}, true}, start, start + seconds(1));
   constraints.Observe("i-0", row.m_statement_start, row.m_statement, start + seconds(2), start + seconds(3));
-  BOOST_TEST(constraints.Leaving("i-0", row.m_listed_start) == row.m_leaving);
+  BOOST_TEST(constraints.Get("i-0", row.m_listed_start).m_leaving == row.m_leaving);
   BOOST_TEST(constraints.MaySend("i-0", row.m_listed_start, start + seconds(60)) == !row.m_leaving);
 }
 
@@ -117,9 +117,9 @@
   // Another node would keep telling this one.
   BOOST_TEST(!constraints.ToAnnounce("i-0", now).has_value());
   constraints.Expire(now + seconds(60));
-  BOOST_TEST(constraints.Leaving("i-0", 0));
+  BOOST_TEST(constraints.Get("i-0", 0).m_leaving);
   constraints.Expire(now + seconds(61));
-  BOOST_TEST(!constraints.Leaving("i-0", 0));
+  BOOST_TEST(!constraints.Get("i-0", 0).m_leaving);
 }
 
 /// A load on endpoints that refuse requests and ask for a pause of 2 s, in each 6 s.
--- a/unit_tests/request_limit_test.cc
+++ b/unit_tests/request_limit_test.cc
@@ -135,7 +135,7 @@
   EndpointConstraints limits;
   limits.Observe("i-0", 1, {StatementKind::kValid, 2}, start + seconds(9), start + seconds(10));
   limits.Observe("i-0", row.m_started_ms, row.m_statement, start + seconds(row.m_sent), start + seconds(12));
-  BOOST_CHECK(limits.LimitOf("i-0", row.m_started_ms) == row.m_limit_per_s);
+  BOOST_CHECK(limits.Get("i-0", row.m_started_ms).m_limit_per_s == row.m_limit_per_s);
 }
 
 /// An announcement of another node at 12 s, after a statement of the endpoint was received at `m_stated_at`.
@@ -172,7 +172,8 @@
                  stated);
   limits.Merge({"i-0", 1, 9}, "n1", 1, start + seconds(11));
   limits.Merge(row.m_announced, "n1", row.m_version, start + seconds(12));
-  BOOST_CHECK(limits.LimitOf(row.m_announced.m_endpoint, row.m_announced.m_started_ms) == row.m_limit_per_s);
+  BOOST_CHECK(limits.Get(row.m_announced.m_endpoint, row.m_announced.m_started_ms).m_limit_per_s ==
+              row.m_limit_per_s);
 }
 
 BOOST_AUTO_TEST_CASE(AnnouncedLimitsFitIntoControlTraffic) {
