Name constraints as such where the names still spoke of limits

Cause: parameters, comments and the test fleet were named for the limit only; three functions stood in two test files. Change: names, comments and places; ReadStatement in platform_test. No check, bound or behaviour changed.

--- a/fescueramp/dispatch/endpoint_table.h
+++ b/fescueramp/dispatch/endpoint_table.h
@@ -73,9 +73,9 @@
     const std::set<std::string>* m_avoid = nullptr;  ///< Endpoints that failed the request before.
   };
 
-  /// @param limits Request limits of endpoints, shared by the dispatchers of one node.
-  EndpointTable(HealthMonitor& health, std::string own_zone, std::shared_ptr<EndpointConstraints> limits)
-      : m_health(health), m_own_zone(std::move(own_zone)), m_constraints(std::move(limits)) {}
+  /// @param constraints What endpoints have stated, shared by the dispatchers of one node.
+  EndpointTable(HealthMonitor& health, std::string own_zone, std::shared_ptr<EndpointConstraints> constraints)
+      : m_health(health), m_own_zone(std::move(own_zone)), m_constraints(std::move(constraints)) {}
 
   /// Sets the endpoints, which are listed in a pool or announced themselves. Endpoints already in the table
   /// keep their state.
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -31,11 +31,12 @@
 }  // namespace
 
 FairDispatcher::FairDispatcher(ServicePart part, std::string node, const std::string& zone,
-                               HealthSettings health, std::shared_ptr<EndpointConstraints> limits)
+                               HealthSettings health, std::shared_ptr<EndpointConstraints> constraints)
     : m_part(std::move(part)),
       m_node(std::move(node)),
       m_health(health),
-      m_endpoints(m_health, zone, limits ? std::move(limits) : std::make_shared<EndpointConstraints>()) {}
+      m_endpoints(m_health, zone,
+                  constraints ? std::move(constraints) : std::make_shared<EndpointConstraints>()) {}
 
 void FairDispatcher::Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) {
   m_table = std::move(table);
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -27,10 +27,10 @@
   /// @param part Service, or part of a service, whose requests it dispatches.
   /// @param node Name of the node, for decision records.
   /// @param zone Availability zone of the node.
-  /// @param limits Request limits of endpoints that the node's dispatchers share; the dispatcher's own if
+  /// @param constraints What endpoints have stated, shared by the node's dispatchers; the dispatcher's own if
   /// null.
   FairDispatcher(ServicePart part, std::string node, const std::string& zone, HealthSettings health = {},
-                 std::shared_ptr<EndpointConstraints> limits = nullptr);
+                 std::shared_ptr<EndpointConstraints> constraints = nullptr);
 
   void Configure(std::shared_ptr<const RouteTable> table, DispatchEffects& out, Instant now) override;
   void SetLiveEndpoints(const std::vector<LiveEndpoint>& endpoints, std::int64_t parts, Instant now,
--- a/fescueramp/membership/member.h
+++ b/fescueramp/membership/member.h
@@ -61,7 +61,7 @@
   std::vector<std::string> m_leaving_endpoints;  ///< Endpoints that the platform lists as leaving.
   std::int64_t m_leaving_version = 0;            ///< Version of that list.
   std::int64_t m_digest = 0;  ///< Hash of the alive, suspect and leaving members known to the sender.
-  std::vector<AnnouncedConstraint> m_constraints;  ///< Limits of endpoints that the sender sends requests to.
+  std::vector<AnnouncedConstraint> m_constraints;  ///< Constraints on requests to endpoints.
   std::int64_t m_constraints_version = 0;  ///< Grows with each message of the sender that has constraints.
 };
 BOOST_DESCRIBE_STRUCT(GossipMessage, (),
--- a/fescueramp/membership/membership.h
+++ b/fescueramp/membership/membership.h
@@ -18,7 +18,7 @@
   int m_indirect_probes = 3;                           ///< Nodes that receive a ping request for one target.
   Duration m_min_suspicion = std::chrono::seconds(3);  ///< Time to refute a suspicion in a small fleet.
   int m_updates_per_message = 6;                       ///< Members carried by one datagram.
-  int m_constraints_per_message = 20;                  ///< Limits of endpoints carried by one datagram.
+  int m_constraints_per_message = 20;                  ///< Constraints carried by one datagram.
   int m_announce_fanout = 4;                           ///< Nodes to which urgent updates are sent at once.
   int m_revision_rounds = 3;                           ///< Rounds in which a new revision is announced.
   int m_zone_fanout = 3;      ///< Nodes of the same zone that receive a new revision in each round.
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -25,9 +25,9 @@
 constexpr Duration kEndpointListTimeout = std::chrono::milliseconds(250);
 /// Time allowed for nodes to find one another.
 constexpr Duration kWatchStartDelay = std::chrono::milliseconds(1500);
-/// Time between two announcements of limits; a third of the time for which an announcement counts.
+/// Time between two announcements of constraints; a third of the time for which an announcement counts.
 constexpr Duration kConstraintAnnouncementPeriod = std::chrono::seconds(1);
-/// First nodes of the owner order that are told of limits: the owner and those that take over from it.
+/// First nodes of the owner order that are told of constraints: the owner and those that take over from it.
 constexpr std::size_t kConstraintReceivers = 3;
 /// Longest search for other nodes before this node is ready.
 constexpr Duration kDiscoveryTimeout = std::chrono::seconds(2);
@@ -356,12 +356,12 @@
   m_next_constraint_announcement = now + kConstraintAnnouncementPeriod;
   const std::set<std::string> senders = m_constraints->Senders(now);
   for (const auto& [name, dispatcher] : m_dispatchers) {
-    const std::vector<AnnouncedConstraint> limits = dispatcher->ConstraintsToAnnounce(now);
-    if (limits.empty()) continue;
+    const std::vector<AnnouncedConstraint> constraints = dispatcher->ConstraintsToAnnounce(now);
+    if (constraints.empty()) continue;
     std::set<std::string> receivers = senders;
     for (auto& node : m_ownership.FirstOwners(m_parts.at(name).m_part, kConstraintReceivers))
       receivers.insert(std::move(node));
-    for (const auto& node : receivers) m_membership.SendConstraints(node, limits, now);
+    for (const auto& node : receivers) m_membership.SendConstraints(node, constraints, now);
   }
 }
 
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -138,8 +138,8 @@
   void StartClaimed(RequestClaim& claim, Instant now);
   void TakeMembershipEffects();
 
-  /// Tells the nodes that may take over a part, and those that send to the same endpoints, which endpoints
-  /// with a limit this node sends requests to.
+  /// Announces the constraints on requests to the endpoints of a part to the nodes that may take the part
+  /// over, and to those that send to the same endpoints.
   void AnnounceConstraints(Instant now);
   void MergeConstraints(const GossipMessage& message, Instant now);
   /// Creates the dispatchers of services that this node owns, so that operators see them before the first
--- a/unit_tests/limit_fleet.cc
+++ b/unit_tests/constraint_fleet.cc
@@ -1,4 +1,4 @@
-#include "unit_tests/limit_fleet.h"
+#include "unit_tests/constraint_fleet.h"
 
 #include <algorithm>
 #include <cmath>
@@ -35,7 +35,17 @@
 
 }  // namespace
 
-int LimitResult::MaxArrivals(const std::string& endpoint, double window, double from, double until) const {
+std::vector<int> OneDispatcher(double) { return {0}; }
+std::vector<int> TwoDispatchers(double) { return {0, 1}; }
+std::vector<int> ThreeDispatchers(double) { return {0, 1, 2}; }
+std::vector<int> DispatcherChangesOnce(double time) { return {time < 14 ? 0 : 1}; }
+std::vector<int> DispatcherChangesOften(double time) { return {static_cast<int>(time / 1.5) % 3}; }
+std::vector<int> DispatchersOverlap(double time) {
+  return time < 12 ? std::vector<int>{0} : (time < 16 ? std::vector<int>{0, 1} : std::vector<int>{1});
+}
+
+int ConstraintResult::MaxArrivals(const std::string& endpoint, double window, double from,
+                                  double until) const {
   std::vector<double> times;
   if (const auto arrivals = m_arrivals.find(endpoint); arrivals != m_arrivals.end()) {
     std::copy_if(arrivals->second.begin(), arrivals->second.end(), std::back_inserter(times),
@@ -49,12 +59,13 @@
   return most;
 }
 
-LimitFleet::LimitFleet(LimitPattern pattern) : m_pattern(std::move(pattern)), m_random(m_pattern.m_seed) {
+ConstraintFleet::ConstraintFleet(ConstraintPattern pattern)
+    : m_pattern(std::move(pattern)), m_random(m_pattern.m_seed) {
   m_nodes.resize(static_cast<std::size_t>(m_pattern.m_nodes));
   for (int node = 0; node < m_pattern.m_nodes; ++node) StartNode(node);
 }
 
-void LimitFleet::StartNode(int node) {
+void ConstraintFleet::StartNode(int node) {
   const auto make_member = [&](int index) {
     Member member = DiscoveryNode::Node(index);
     member.m_gossip_port = kGossipPort + index;
@@ -74,20 +85,20 @@
   Post(node, ListEndpoints());
 }
 
-EndpointsListed LimitFleet::ListEndpoints() const {
+EndpointsListed ConstraintFleet::ListEndpoints() const {
   const double restart_at = m_pattern.m_endpoints_restart_at;
   const bool restarted = restart_at > 0 && Seconds() >= restart_at;
   EndpointsListed listed{restarted ? 2 : 1, {}};
   for (int i = 0; i < m_pattern.m_endpoints; ++i) {
     LiveEndpoint endpoint = MakeLiveEndpoint("i-" + std::to_string(i));
     endpoint.m_slots = kSlots;
-    endpoint.m_started_ms = kEndpointStartMs + (restarted && i < m_pattern.m_limited_endpoints ? 1 : 0);
+    endpoint.m_started_ms = kEndpointStartMs + (restarted && i < m_pattern.m_constrained_endpoints ? 1 : 0);
     listed.m_endpoints.push_back(endpoint);
   }
   return listed;
 }
 
-LimitResult LimitFleet::Run() {
+ConstraintResult ConstraintFleet::Run() {
   double pending_arrivals = 0;
   bool restarted = m_pattern.m_restart_at <= 0;
   while (Seconds() < m_pattern.m_seconds) {
@@ -121,7 +132,7 @@
   return m_result;
 }
 
-void LimitFleet::Send(int node) {
+void ConstraintFleet::Send(int node) {
   DispatchRequest request;
   request.m_request_id = "r" + std::to_string(m_next_request++);
   request.m_service = "work";
@@ -138,7 +149,7 @@
   Post(node, DispatchArrived{request, 1});
 }
 
-void LimitFleet::Post(int node, const Event& event) {
+void ConstraintFleet::Post(int node, const Event& event) {
   for (const Effect& effect : m_nodes[static_cast<std::size_t>(node)]->Reduce(event, m_now)) {
     if (const auto* start = std::get_if<StartAttempt>(&effect)) Apply(node, *start);
     if (const auto* gossip = std::get_if<SendGossip>(&effect)) Apply(node, *gossip);
@@ -147,7 +158,7 @@
   }
 }
 
-void LimitFleet::Finish(const std::string& request_id, bool served) {
+void ConstraintFleet::Finish(const std::string& request_id, bool served) {
   const auto open = m_open_requests.find(request_id);
   if (open == m_open_requests.end()) return;
   ++(served ? m_result.m_served : m_result.m_refused);
@@ -155,41 +166,42 @@
   m_open_requests.erase(open);
 }
 
-AttemptOutcome LimitFleet::DrawOutcome(bool limited) {
-  if (!limited || m_pattern.m_response == LimitedResponse::kSuccess) return AttemptOutcome::kResponded;
-  if (m_pattern.m_response == LimitedResponse::kPausing) {
+AttemptOutcome ConstraintFleet::DrawOutcome(bool constrained) {
+  if (!constrained || m_pattern.m_response == ConstrainedResponse::kSuccess)
+    return AttemptOutcome::kResponded;
+  if (m_pattern.m_response == ConstrainedResponse::kPausing) {
     const bool refuses = std::fmod(Seconds(), kPausePeriod) < kRefusalTime;
     return refuses ? AttemptOutcome::kShed : AttemptOutcome::kResponded;
   }
   if (UniformRandom() < 0.5) return AttemptOutcome::kResponded;
   switch (m_pattern.m_response) {
-    case LimitedResponse::kHalfErrors:
+    case ConstrainedResponse::kHalfErrors:
       return AttemptOutcome::kServerError;
-    case LimitedResponse::kHalfRefused:
+    case ConstrainedResponse::kHalfRefused:
       return AttemptOutcome::kShed;
-    case LimitedResponse::kHalfBroken:
+    case ConstrainedResponse::kHalfBroken:
       return AttemptOutcome::kBroken;
     default:
       return AttemptOutcome::kTimedOut;
   }
 }
 
-void LimitFleet::CountInPauses(const std::string& endpoint, int node) {
+void ConstraintFleet::CountInPauses(const std::string& endpoint, int node) {
   for (Pause& pause : m_pauses[{endpoint, node}]) {
     if (m_now < pause.m_from || m_now >= pause.m_until) continue;
     m_result.m_most_in_pause = std::max(m_result.m_most_in_pause, ++pause.m_requests);
   }
 }
 
-void LimitFleet::RecordStatement(const std::string& endpoint, int node, double at) {
+void ConstraintFleet::RecordStatement(const std::string& endpoint, int node, double at) {
   const auto [first, added] = m_result.m_first_stated.try_emplace(endpoint, at);
   if (!added) first->second = std::min(first->second, at);
   const auto [to_node, to_node_added] = m_stated_to.try_emplace({endpoint, node}, at);
   if (!to_node_added) to_node->second = std::min(to_node->second, at);
 }
 
-void LimitFleet::Apply(int node, const StartAttempt& effect) {
-  const bool limited = IndexOf(effect.m_endpoint) < m_pattern.m_limited_endpoints;
+void ConstraintFleet::Apply(int node, const StartAttempt& effect) {
+  const bool constrained = IndexOf(effect.m_endpoint) < m_pattern.m_constrained_endpoints;
   m_result.m_arrivals[effect.m_endpoint].push_back(Seconds());
   CountInPauses(effect.m_endpoint, node);
   const auto stated = m_stated_to.find({effect.m_endpoint, node});
@@ -200,7 +212,7 @@
   result.m_request_id = effect.m_request_id;
   result.m_part = "work";
   result.m_attempt = effect.m_attempt;
-  result.m_outcome = DrawOutcome(limited);
+  result.m_outcome = DrawOutcome(constrained);
   std::normal_distribution<double> normal;
   Duration latency = FromSeconds(kServiceTime * std::exp(normal(m_random) * kSpread));
   if (result.m_outcome == AttemptOutcome::kShed || result.m_outcome == AttemptOutcome::kBroken)
@@ -213,14 +225,14 @@
   if (answers) {
     const double at = Seconds() + ToSeconds(latency);
     result.m_statement.m_kind = StatementKind::kValid;
-    if (m_pattern.m_response == LimitedResponse::kPausing) {
+    if (m_pattern.m_response == ConstrainedResponse::kPausing) {
       if (result.m_outcome == AttemptOutcome::kShed) {
         result.m_statement.m_pause = kPause;
         const Instant refused = m_now + latency;
         m_pauses[{effect.m_endpoint, node}].push_back({refused + kPauseNotice, refused + kPause, 0});
         ++m_result.m_pauses;
       }
-    } else if (limited && at >= m_pattern.m_stated_from && at < m_pattern.m_stated_until) {
+    } else if (constrained && at >= m_pattern.m_stated_from && at < m_pattern.m_stated_until) {
       result.m_statement.m_leaving = m_pattern.m_leaving;
       if (!m_pattern.m_leaving) result.m_statement.m_limit_per_s = m_pattern.m_limit_per_s;
       RecordStatement(effect.m_endpoint, node, at);
@@ -229,9 +241,9 @@
   m_endings.emplace(m_now + latency, ending);
 }
 
-void LimitFleet::Apply(int node, const SendGossip& effect) {
+void ConstraintFleet::Apply(int node, const SendGossip& effect) {
   if (!effect.m_message.m_constraints.empty())
-    m_result.m_limit_bytes += EncodeGossip(effect.m_message, {}).size();
+    m_result.m_constraint_bytes += EncodeGossip(effect.m_message, {}).size();
   const int to = static_cast<int>(effect.m_port - kGossipPort);
   if (to < 0 || to >= m_pattern.m_nodes || UniformRandom() < m_pattern.m_datagram_loss) return;
   const GossipReceived event{DiscoveryNode::Node(node).m_address, kGossipPort + node, effect.m_message};
--- a/unit_tests/endpoint_constraint_test.cc
+++ b/unit_tests/endpoint_constraint_test.cc
@@ -4,8 +4,8 @@
 #include <limits>
 #include <set>
 
+#include "unit_tests/constraint_fleet.h"
 #include "unit_tests/dispatch_harness.h"
-#include "unit_tests/limit_fleet.h"
 
 namespace fescueramp {
 namespace {
@@ -14,15 +14,10 @@
 
 BOOST_AUTO_TEST_SUITE(endpoint_constraint)
 
-std::vector<int> OneDispatcher(double) { return {0}; }
-std::vector<int> TwoDispatchers(double) { return {0, 1}; }
-std::vector<int> DispatcherChangesOnce(double time) { return {time < 14 ? 0 : 1}; }
-std::vector<int> DispatcherChangesOften(double time) { return {static_cast<int>(time / 1.5) % 3}; }
-
 /// A load on endpoints that state that they are leaving while they are listed as ready.
 struct LeavingCase {
   const char* m_name;
-  LimitedResponse m_response;
+  ConstrainedResponse m_response;
   bool m_repeatable;
   std::vector<int> (*m_dispatchers)(double);
   double m_restart_at;
@@ -32,24 +27,24 @@
 std::ostream& operator<<(std::ostream& out, const LeavingCase& row) { return out << row.m_name; }
 
 const LeavingCase kLeavingCases[] = {
-    {"one dispatcher", LimitedResponse::kSuccess, true, OneDispatcher, 0, 0},
-    {"non-repeatable requests", LimitedResponse::kSuccess, false, OneDispatcher, 0, 0},
-    {"retries and hedges after errors", LimitedResponse::kHalfErrors, true, OneDispatcher, 0, 0},
-    {"refusals", LimitedResponse::kHalfRefused, true, OneDispatcher, 0, 0},
-    {"broken connections, endpoints in doubt are due", LimitedResponse::kHalfBroken, true, OneDispatcher, 0,
-     0},
-    {"hanging requests, endpoints in doubt are due", LimitedResponse::kHalfHanging, true, OneDispatcher, 0,
-     0},
-    {"two dispatchers at once", LimitedResponse::kSuccess, true, TwoDispatchers, 0, 0},
-    {"another dispatcher takes over", LimitedResponse::kSuccess, true, DispatcherChangesOnce, 0, 0},
-    {"the dispatcher changes every 1.5 s", LimitedResponse::kSuccess, true, DispatcherChangesOften, 0, 1},
-    {"the dispatcher restarts", LimitedResponse::kSuccess, true, OneDispatcher, 14, 1},
+    {"one dispatcher", ConstrainedResponse::kSuccess, true, OneDispatcher, 0, 0},
+    {"non-repeatable requests", ConstrainedResponse::kSuccess, false, OneDispatcher, 0, 0},
+    {"retries and hedges after errors", ConstrainedResponse::kHalfErrors, true, OneDispatcher, 0, 0},
+    {"refusals", ConstrainedResponse::kHalfRefused, true, OneDispatcher, 0, 0},
+    {"broken connections, endpoints in doubt are due", ConstrainedResponse::kHalfBroken, true, OneDispatcher,
+     0, 0},
+    {"hanging requests, endpoints in doubt are due", ConstrainedResponse::kHalfHanging, true, OneDispatcher,
+     0, 0},
+    {"two dispatchers at once", ConstrainedResponse::kSuccess, true, TwoDispatchers, 0, 0},
+    {"another dispatcher takes over", ConstrainedResponse::kSuccess, true, DispatcherChangesOnce, 0, 0},
+    {"the dispatcher changes every 1.5 s", ConstrainedResponse::kSuccess, true, DispatcherChangesOften, 0, 1},
+    {"the dispatcher restarts", ConstrainedResponse::kSuccess, true, OneDispatcher, 14, 1},
 };
 
 BOOST_DATA_TEST_CASE(EndpointThatStatesThatItLeavesGetsNoRequests,
                      boost::unit_test::data::make(kLeavingCases) * boost::unit_test::data::xrange(1, 4), row,
                      seed) {
-  LimitPattern pattern;
+  ConstraintPattern pattern;
   pattern.m_leaving = true;
   pattern.m_stated_until = pattern.m_seconds;
   pattern.m_response = row.m_response;
@@ -57,7 +52,7 @@
   pattern.m_dispatchers = row.m_dispatchers;
   pattern.m_restart_at = row.m_restart_at;
   pattern.m_seed = static_cast<unsigned>(seed);
-  const LimitResult result = LimitFleet(pattern).Run();
+  const ConstraintResult result = ConstraintFleet(pattern).Run();
   for (const std::string endpoint : {"i-0", "i-1"}) {
     BOOST_REQUIRE(result.m_first_stated.contains(endpoint));
     BOOST_TEST(!result.m_sent_after_statement.contains(endpoint));
@@ -68,11 +63,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(EndpointThatRestartedIsUsedAgain) {
-  LimitPattern pattern;
+  ConstraintPattern pattern;
   pattern.m_leaving = true;
   pattern.m_stated_until = 14;
   pattern.m_endpoints_restart_at = 14;
-  const LimitResult result = LimitFleet(pattern).Run();
+  const ConstraintResult result = ConstraintFleet(pattern).Run();
   for (const std::string endpoint : {"i-0", "i-1"}) {
     BOOST_TEST(result.MaxArrivals(endpoint, pattern.m_seconds, 9, 14) == 0);
     BOOST_TEST(result.MaxArrivals(endpoint, pattern.m_seconds, 16, pattern.m_seconds) >= 16);
@@ -146,14 +141,14 @@
 BOOST_DATA_TEST_CASE(EndpointThatAskedForAPauseGetsNoRequests,
                      boost::unit_test::data::make(kPauseCases) * boost::unit_test::data::xrange(1, 4), row,
                      seed) {
-  LimitPattern pattern;
-  pattern.m_response = LimitedResponse::kPausing;
-  pattern.m_limited_endpoints = row.m_pausing_endpoints;
+  ConstraintPattern pattern;
+  pattern.m_response = ConstrainedResponse::kPausing;
+  pattern.m_constrained_endpoints = row.m_pausing_endpoints;
   pattern.m_repeatable = row.m_repeatable;
   pattern.m_dispatchers = row.m_dispatchers;
   pattern.m_restart_at = row.m_restart_at;
   pattern.m_seed = static_cast<unsigned>(seed);
-  const LimitResult result = LimitFleet(pattern).Run();
+  const ConstraintResult result = ConstraintFleet(pattern).Run();
   BOOST_TEST(result.m_pauses >= 5);
   BOOST_TEST(result.m_most_in_pause <= 2);
   // The endpoints are used between their pauses.
--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -231,6 +231,12 @@
   BOOST_CHECK(PlatformDialect().ClassifyResponse(metadata, row.m_head).m_kind == row.m_kind);
 }
 
+EndpointStatement ReadStatement(const ResponseHead& head) {
+  AttemptMetadata metadata;
+  metadata.m_caller_id = "r1";
+  return PlatformDialect().ClassifyResponse(metadata, head).m_statement;
+}
+
 /// Header fields of a response and the request limit that is read from them.
 struct LimitCase {
   const char* m_name;
@@ -279,9 +285,7 @@
 
 BOOST_DATA_TEST_CASE(LimitIsReadOnlyFromResponsesOfTheEndpoint, boost::unit_test::data::make(kLimitCases),
                      row) {
-  AttemptMetadata metadata;
-  metadata.m_caller_id = "r1";
-  const EndpointStatement statement = PlatformDialect().ClassifyResponse(metadata, row.m_head).m_statement;
+  const EndpointStatement statement = ReadStatement(row.m_head);
   BOOST_CHECK(statement.m_kind == row.m_kind);
   BOOST_CHECK(statement.m_limit_per_s == row.m_limit_per_s);
 }
@@ -318,9 +322,7 @@
 
 BOOST_DATA_TEST_CASE(LeavingIsReadOnlyFromResponsesOfTheEndpoint,
                      boost::unit_test::data::make(kLeavingFields), row) {
-  AttemptMetadata metadata;
-  metadata.m_caller_id = "r1";
-  const EndpointStatement statement = PlatformDialect().ClassifyResponse(metadata, row.m_head).m_statement;
+  const EndpointStatement statement = ReadStatement(row.m_head);
   BOOST_CHECK(statement.m_kind == row.m_kind);
   BOOST_TEST(statement.m_leaving == row.m_leaving);
 }
@@ -367,9 +369,7 @@
 
 BOOST_DATA_TEST_CASE(PauseIsReadOnlyFromRefusalsOfTheEndpoint, boost::unit_test::data::make(kPauseFields),
                      row) {
-  AttemptMetadata metadata;
-  metadata.m_caller_id = "r1";
-  const EndpointStatement statement = PlatformDialect().ClassifyResponse(metadata, row.m_head).m_statement;
+  const EndpointStatement statement = ReadStatement(row.m_head);
   BOOST_CHECK(statement.m_kind == row.m_kind);
   BOOST_CHECK(statement.m_pause == row.m_pause);
 }
--- a/unit_tests/request_limit_test.cc
+++ b/unit_tests/request_limit_test.cc
@@ -3,7 +3,7 @@
 #include <boost/test/unit_test.hpp>
 #include <cmath>
 
-#include "unit_tests/limit_fleet.h"
+#include "unit_tests/constraint_fleet.h"
 
 namespace fescueramp {
 namespace {
@@ -12,63 +12,55 @@
 
 BOOST_AUTO_TEST_SUITE(request_limit)
 
-std::vector<int> OneDispatcher(double) { return {0}; }
-std::vector<int> TwoDispatchers(double) { return {0, 1}; }
-std::vector<int> ThreeDispatchers(double) { return {0, 1, 2}; }
-std::vector<int> DispatcherChangesOnce(double time) { return {time < 14 ? 0 : 1}; }
-std::vector<int> DispatcherChangesOften(double time) { return {static_cast<int>(time / 1.5) % 3}; }
-std::vector<int> DispatchersOverlap(double time) {
-  return time < 12 ? std::vector<int>{0} : (time < 16 ? std::vector<int>{0, 1} : std::vector<int>{1});
-}
-
 /// A load on endpoints that state a limit, and who dispatches it.
 struct LimitLoadCase {
   const char* m_name;
   double m_limit_per_s;
-  LimitedResponse m_response;
+  ConstrainedResponse m_response;
   bool m_repeatable;
   std::vector<int> (*m_dispatchers)(double);
   double m_restart_at;
-  int m_limited_endpoints;
+  int m_constrained_endpoints;
 };
 
 std::ostream& operator<<(std::ostream& out, const LimitLoadCase& row) { return out << row.m_name; }
 
 const LimitLoadCase kLimitLoadCases[] = {
-    {"one dispatcher", 4, LimitedResponse::kSuccess, true, OneDispatcher, 0, 2},
-    {"low limit", 0.4, LimitedResponse::kSuccess, true, OneDispatcher, 0, 2},
-    {"limit of zero", 0, LimitedResponse::kSuccess, true, OneDispatcher, 0, 2},
-    {"non-repeatable requests", 4, LimitedResponse::kSuccess, false, OneDispatcher, 0, 2},
-    {"all endpoints limited", 2, LimitedResponse::kSuccess, false, OneDispatcher, 0, 8},
-    {"retries and hedges after errors", 2, LimitedResponse::kHalfErrors, true, OneDispatcher, 0, 8},
-    {"refusals", 2, LimitedResponse::kHalfRefused, true, OneDispatcher, 0, 2},
-    {"broken connections, endpoints in doubt are due", 0.1, LimitedResponse::kHalfBroken, true, OneDispatcher,
-     0, 2},
-    {"hanging requests, endpoints in doubt are due", 0.1, LimitedResponse::kHalfHanging, true, OneDispatcher,
-     0, 2},
-    {"two dispatchers at once", 4, LimitedResponse::kSuccess, true, TwoDispatchers, 0, 2},
-    {"three dispatchers at once", 4, LimitedResponse::kSuccess, true, ThreeDispatchers, 0, 2},
-    {"another dispatcher takes over", 4, LimitedResponse::kSuccess, true, DispatcherChangesOnce, 0, 2},
-    {"the old dispatcher goes on for 4 s", 4, LimitedResponse::kSuccess, true, DispatchersOverlap, 0, 2},
-    {"the dispatcher changes every 1.5 s", 4, LimitedResponse::kSuccess, true, DispatcherChangesOften, 0, 2},
-    {"the dispatcher restarts", 4, LimitedResponse::kSuccess, true, OneDispatcher, 14, 2},
+    {"one dispatcher", 4, ConstrainedResponse::kSuccess, true, OneDispatcher, 0, 2},
+    {"low limit", 0.4, ConstrainedResponse::kSuccess, true, OneDispatcher, 0, 2},
+    {"limit of zero", 0, ConstrainedResponse::kSuccess, true, OneDispatcher, 0, 2},
+    {"non-repeatable requests", 4, ConstrainedResponse::kSuccess, false, OneDispatcher, 0, 2},
+    {"all endpoints limited", 2, ConstrainedResponse::kSuccess, false, OneDispatcher, 0, 8},
+    {"retries and hedges after errors", 2, ConstrainedResponse::kHalfErrors, true, OneDispatcher, 0, 8},
+    {"refusals", 2, ConstrainedResponse::kHalfRefused, true, OneDispatcher, 0, 2},
+    {"broken connections, endpoints in doubt are due", 0.1, ConstrainedResponse::kHalfBroken, true,
+     OneDispatcher, 0, 2},
+    {"hanging requests, endpoints in doubt are due", 0.1, ConstrainedResponse::kHalfHanging, true,
+     OneDispatcher, 0, 2},
+    {"two dispatchers at once", 4, ConstrainedResponse::kSuccess, true, TwoDispatchers, 0, 2},
+    {"three dispatchers at once", 4, ConstrainedResponse::kSuccess, true, ThreeDispatchers, 0, 2},
+    {"another dispatcher takes over", 4, ConstrainedResponse::kSuccess, true, DispatcherChangesOnce, 0, 2},
+    {"the old dispatcher goes on for 4 s", 4, ConstrainedResponse::kSuccess, true, DispatchersOverlap, 0, 2},
+    {"the dispatcher changes every 1.5 s", 4, ConstrainedResponse::kSuccess, true, DispatcherChangesOften, 0,
+     2},
+    {"the dispatcher restarts", 4, ConstrainedResponse::kSuccess, true, OneDispatcher, 14, 2},
 };
 
 BOOST_DATA_TEST_CASE(EndpointGetsNoMoreThanItsLimitAllows,
                      boost::unit_test::data::make(kLimitLoadCases) * boost::unit_test::data::xrange(1, 4),
                      row, seed) {
-  LimitPattern pattern;
+  ConstraintPattern pattern;
   pattern.m_limit_per_s = row.m_limit_per_s;
   pattern.m_response = row.m_response;
   pattern.m_repeatable = row.m_repeatable;
   pattern.m_dispatchers = row.m_dispatchers;
   pattern.m_restart_at = row.m_restart_at;
-  pattern.m_limited_endpoints = row.m_limited_endpoints;
+  pattern.m_constrained_endpoints = row.m_constrained_endpoints;
   pattern.m_seed = static_cast<unsigned>(seed);
-  const LimitResult result = LimitFleet(pattern).Run();
+  const ConstraintResult result = ConstraintFleet(pattern).Run();
   // In 4 s, one and a half times the limit plus 5, from 3 s after it was first stated.
   const double allowed = row.m_limit_per_s * 4 * 1.5 + 5;
-  for (int i = 0; i < row.m_limited_endpoints; ++i) {
+  for (int i = 0; i < row.m_constrained_endpoints; ++i) {
     const std::string endpoint = "i-" + std::to_string(i);
     const double from = pattern.m_stated_from + 3;
     const int most = result.MaxArrivals(endpoint, 4, from, pattern.m_stated_until);
@@ -79,11 +71,11 @@
 }
 
 BOOST_AUTO_TEST_CASE(EndpointWithoutLimitGetsItsShareAgain) {
-  LimitPattern pattern;
+  ConstraintPattern pattern;
   pattern.m_limit_per_s = 0.4;
   pattern.m_seconds = 40;
   pattern.m_arrivals_per_s = 80;
-  const LimitResult result = LimitFleet(pattern).Run();
+  const ConstraintResult result = ConstraintFleet(pattern).Run();
   for (const std::string endpoint : {"i-0", "i-1"}) {
     BOOST_TEST(result.MaxArrivals(endpoint, 4, 9, pattern.m_stated_until) <= 3);
     // The demand is 10 requests a second for each endpoint, which takes two thirds of its slots.
@@ -93,14 +85,14 @@
 
 BOOST_AUTO_TEST_CASE(RequestsAboveAllLimitsAreRefusedAtOnce) {
   // Guards against requests that wait for slots which the limits of their endpoints keep free.
-  LimitPattern pattern;
-  pattern.m_limited_endpoints = pattern.m_endpoints;
+  ConstraintPattern pattern;
+  pattern.m_constrained_endpoints = pattern.m_endpoints;
   pattern.m_limit_per_s = 2;
   pattern.m_repeatable = false;
   pattern.m_stated_from = 1;
   pattern.m_stated_until = 60;
-  const LimitResult result = LimitFleet(pattern).Run();
-  // 16 of 40 requests a second are within the limits.
+  const ConstraintResult result = ConstraintFleet(pattern).Run();
+  // 16 of 40 requests a second are within the constraints.
   BOOST_TEST(result.m_served >= 14 * 30);
   BOOST_TEST(result.m_refused >= 20 * 30);
   BOOST_TEST(result.m_slow_refusals <= 0.25 * result.m_refused);
@@ -132,10 +124,11 @@
 
 BOOST_DATA_TEST_CASE(OlderStatementNeverRaisesALimit, boost::unit_test::data::make(kLaterStatements), row) {
   const Instant start{seconds(1'700'000'000)};
-  EndpointConstraints limits;
-  limits.Observe("i-0", 1, {StatementKind::kValid, 2}, start + seconds(9), start + seconds(10));
-  limits.Observe("i-0", row.m_started_ms, row.m_statement, start + seconds(row.m_sent), start + seconds(12));
-  BOOST_CHECK(limits.Get("i-0", row.m_started_ms).m_limit_per_s == row.m_limit_per_s);
+  EndpointConstraints constraints;
+  constraints.Observe("i-0", 1, {StatementKind::kValid, 2}, start + seconds(9), start + seconds(10));
+  constraints.Observe("i-0", row.m_started_ms, row.m_statement, start + seconds(row.m_sent),
+                      start + seconds(12));
+  BOOST_CHECK(constraints.Get("i-0", row.m_started_ms).m_limit_per_s == row.m_limit_per_s);
 }
 
 /// An announcement of another node at 12 s, after a statement of the endpoint was received at `m_stated_at`.
@@ -166,29 +159,29 @@
 BOOST_DATA_TEST_CASE(AnnouncementOnlySetsOrLowersALimit, boost::unit_test::data::make(kAnnouncements), row) {
   const Instant start{seconds(1'700'000'000)};
   const Instant stated = start + seconds(row.m_stated_at);
-  EndpointConstraints limits;
-  limits.Observe("i-0", 1, {StatementKind::kValid, 4}, start, start + seconds(1));
-  limits.Observe("i-0", 1, {StatementKind::kValid, row.m_stated}, stated - std::chrono::milliseconds(1),
-                 stated);
-  limits.Merge({"i-0", 1, 9}, "n1", 1, start + seconds(11));
-  limits.Merge(row.m_announced, "n1", row.m_version, start + seconds(12));
-  BOOST_CHECK(limits.Get(row.m_announced.m_endpoint, row.m_announced.m_started_ms).m_limit_per_s ==
+  EndpointConstraints constraints;
+  constraints.Observe("i-0", 1, {StatementKind::kValid, 4}, start, start + seconds(1));
+  constraints.Observe("i-0", 1, {StatementKind::kValid, row.m_stated}, stated - std::chrono::milliseconds(1),
+                      stated);
+  constraints.Merge({"i-0", 1, 9}, "n1", 1, start + seconds(11));
+  constraints.Merge(row.m_announced, "n1", row.m_version, start + seconds(12));
+  BOOST_CHECK(constraints.Get(row.m_announced.m_endpoint, row.m_announced.m_started_ms).m_limit_per_s ==
               row.m_limit_per_s);
 }
 
 BOOST_AUTO_TEST_CASE(AnnouncedLimitsFitIntoControlTraffic) {
   // One dispatcher of 200 endpoints, of which a tenth state a limit.
-  LimitPattern pattern;
+  ConstraintPattern pattern;
   pattern.m_nodes = 10;
   pattern.m_endpoints = 200;
-  pattern.m_limited_endpoints = 20;
+  pattern.m_constrained_endpoints = 20;
   pattern.m_arrivals_per_s = 400;
   pattern.m_seconds = 16;
-  const LimitResult result = LimitFleet(pattern).Run();
+  const ConstraintResult result = ConstraintFleet(pattern).Run();
   const double bytes_per_s =
-      static_cast<double>(result.m_limit_bytes) / (pattern.m_seconds - pattern.m_stated_from);
+      static_cast<double>(result.m_constraint_bytes) / (pattern.m_seconds - pattern.m_stated_from);
   BOOST_TEST_MESSAGE(bytes_per_s << " bytes a second");
-  BOOST_TEST(result.m_limit_bytes > 0U);
+  BOOST_TEST(result.m_constraint_bytes > 0U);
   BOOST_TEST(bytes_per_s <= 3000);
 }
 
