--- a/bench/soak.py
+++ b/bench/soak.py
@@ -22,6 +22,7 @@
                "delay": (0.5, 3.0)}
 STORE_FAULTS = {"down": {"down": True}, "slow": {"slow_ms": 300}, "loses answers": {"lose_answers": 3}}
 ENDPOINT_FAULTS = ({"error_rate": 0.6}, {"slow_factor": 6.0})
+STATEMENT_FAULTS = ({"limit_per_s": 2.0}, {"pause_s": 1.5, "shed_rate": 0.5})
 
 
 class FaultSeries(threading.Thread):
@@ -94,15 +95,23 @@
 class EndpointSeries(FaultSeries):
     """Makes one endpoint fail requests or run them slowly."""
 
+    faults = ENDPOINT_FAULTS
+
     def inject_fault(self):
         pool = self.random.choice(self.soak_run.fleet.pools)
-        index, faults = self.random.randrange(pool.count), self.random.choice(ENDPOINT_FAULTS)
+        index, faults = self.random.randrange(pool.count), self.random.choice(self.faults)
         self.log_fault("endpoint " + next(iter(faults)), "%s-%d" % (pool.name, index))
         self.soak_run.fleet.endpoint_faults(pool, index, **faults)
         self.sleep_within((0.5, 3.0))
         self.soak_run.fleet.endpoint_faults(pool, index)
 
 
+class StatementSeries(EndpointSeries):
+    """Makes one endpoint state a request limit, or ask for a pause in its refusals."""
+
+    faults = STATEMENT_FAULTS
+
+
 class OperatorSeries(FaultSeries):
     """Lets two operators publish concurrently."""
 
@@ -171,6 +180,8 @@
             kinds = [NodeSeries, NodeSeries, LinkSeries, LinkSeries, StoreSeries, EndpointSeries, OperatorSeries]
             series = [kind(self, random_source.random(), deadline)
                       for kind in random_source.sample(kinds, random_source.randint(3, len(kinds)))]
+            # Apart from the others, so that seeds of past failures still draw the same series.
+            series.append(StatementSeries(self, self.seed, deadline))
             for fault_series in series:
                 fault_series.start()
             violations = {}
