--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -27,7 +27,7 @@
 constexpr Duration kWatchStartDelay = std::chrono::milliseconds(1500);
 /// Time between two announcements of constraints; a third of the time for which an announcement counts.
 constexpr Duration kConstraintAnnouncementPeriod = std::chrono::seconds(1);
-/// First nodes of the owner order that are told of constraints: the owner and those that take over from it.
+/// First nodes of the owner order that receive constraints: the owner and those that take over from it.
 constexpr std::size_t kConstraintReceivers = 3;
 /// Longest search for other nodes before this node is ready.
 constexpr Duration kDiscoveryTimeout = std::chrono::seconds(2);
