Hand requests back at a leaving node instead of relaying them

Cause: a node that is leaving doesn't count itself among the owners, so each request that another host still sent to it was relayed to the new owner. The relay ends with the node at the end of its grace time, however long the work takes, and the entry host must answer 502, as the work may have run. Change: a leaving node hands such requests back at once, and the entry host sends them to the next owner itself. Evidence: discovery/LeavingNodeHandsRequestsBackInsteadOfRelayingThem failed before (a relay) and passes now.

--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -102,6 +102,8 @@
 }
 
 void NodeReducer::Handle(const DispatchArrived& event, Instant now) {
+  // A relay would end with this node, however long the work takes.
+  if (m_leaving) return FinishUnstarted(event.m_request.m_request_id, ResultCode::kNotReady);
   const std::string& self = m_settings.m_self.m_node;
   const std::string owner = m_ownership.ReachableOwner(PartOf(event.m_request), now);
   // A request that another dispatcher handed back is not relayed, because that dispatcher may be the owner.
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -348,6 +348,21 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(LeavingNodeHandsRequestsBackInsteadOfRelayingThem) {
+  // A relay that outlives the node is cut off while an endpoint is at work.
+  DiscoveryNode node(6);
+  node.Post(ShutdownRequested{});
+  for (const std::int64_t hops : {0, 1}) {
+    const std::string id = "x-" + std::to_string(hops);
+    const Effects effects = node.Post(DispatchArrived{MakeFilingRequest(id, node.Now()), hops});
+    BOOST_TEST(DiscoveryNode::Select<RelayRequest>(effects).empty());
+    const auto finished = DiscoveryNode::Select<FinishRequest>(effects);
+    BOOST_REQUIRE(finished.size() == 1U);
+    BOOST_TEST(finished[0].m_code == static_cast<std::int64_t>(ResultCode::kNotReady));
+    BOOST_TEST(!finished[0].m_maybe_ran);
+  }
+}
+
 /// Outcomes that an entry host reports.
 struct ReportedOutcomes {
   std::int64_t m_served;
