--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -79,7 +79,8 @@
         self.revision = 100
         self.items, self.history, self.leases = {}, [], {}
         self.changed = asyncio.Event()
-        self.waiting = set()
+        self.stale_s = 0  # Age of reads with `serializable`, seconds.
+        self.writes = []  # Time, key and item (none if it was removed) of each change.
 
     async def start(self):
         self.server = await asyncio.start_server(self.serve, *self.address)
@@ -89,12 +90,14 @@
         created = self.items[key]["created"] if key in self.items else self.revision
         self.items[key] = {"key": key, "value": base64.b64encode(value.encode()).decode(), "revision": self.revision,
                            "created": created, "lease": lease}
+        self.writes.append((time.monotonic(), key, dict(self.items[key])))
         self._add_change(dict(self.items[key]))
 
     def remove(self, key):
         if self.items.pop(key, None) is None:
             return
         self.revision += 1
+        self.writes.append((time.monotonic(), key, None))
         self._add_change({"key": key, "revision": self.revision, "tombstone": True})
 
     def _add_change(self, change):
@@ -102,12 +105,6 @@
         event, self.changed = self.changed, asyncio.Event()
         event.set()
 
-    def cut_watches(self):
-        """Closes the connections of all waiting watches without a response."""
-        for writer in list(self.waiting):
-            writer.close()
-        return len(self.waiting)
-
     async def serve(self, reader, writer):
         try:
             while True:
@@ -130,11 +127,12 @@
     async def answer(self, method, target, body, writer):
         url = urllib.parse.urlsplit(target)
         query = dict(urllib.parse.parse_qsl(url.query))
+        items = self.stale_items() if query.get("serializable") == "1" else self.items
         if url.path == "/api/kv-key":
-            item = self.items.get(query["key"])
+            item = items.get(query["key"])
             return (200, dict(item)) if item else (404, {})
         if url.path == "/api/kv-range":
-            items = [i for k, i in sorted(self.items.items())
+            items = [i for k, i in sorted(items.items())
                      if k.startswith(query["prefix"]) and k > query.get("after", "")]
             return 200, {"items": items, "hasMore": False}
         if url.path == "/api/kv-watch":
@@ -151,24 +149,28 @@
             return 200, {"revision": self.revision}
         return 404, {}
 
+    def stale_items(self):
+        items = {}
+        for written, key, item in self.writes:
+            if written > time.monotonic() - self.stale_s:
+                break
+            items[key] = item
+        return {key: item for key, item in items.items() if item}
+
     async def watch(self, query, writer):
         after, until = int(query["after"]), time.monotonic() + int(query["waitMs"]) / 1000
-        self.waiting.add(writer)
-        try:
-            while True:
-                event = self.changed
-                changes = [c for c in self.history if c["revision"] > after and c["key"].startswith(query["prefix"])]
-                left = until - time.monotonic()
-                if changes or left <= 0:
-                    return 200, {"events": changes}
-                if writer.is_closing():
-                    raise ConnectionError
-                try:
-                    await asyncio.wait_for(event.wait(), min(left, 0.2))
-                except asyncio.TimeoutError:
-                    pass
-        finally:
-            self.waiting.discard(writer)
+        while True:
+            event = self.changed
+            changes = [c for c in self.history if c["revision"] > after and c["key"].startswith(query["prefix"])]
+            left = until - time.monotonic()
+            if changes or left <= 0:
+                return 200, {"events": changes}
+            if writer.is_closing():
+                raise ConnectionError
+            try:
+                await asyncio.wait_for(event.wait(), min(left, 0.2))
+            except asyncio.TimeoutError:
+                pass
 
 
 class Backend:
@@ -474,6 +476,7 @@
         services = [{"name": n, "healthPath": "/health", "maxConnections": 330, "protocol": "h1", "tls": False}
                     for n in self.services]
         limits = {"maxHeaderBytes": 16384, "maxBodyBytes": 67108864, "headerTimeout": "3000ms", "idleTimeout": "15000ms"}
+        """Writes the configuration; the return is the acknowledgement."""
         self.store.put("op/config", json.dumps({"version": "%08x" % version, "routes": self.routes,
                                                 "services": services, "limits": limits}))
 
