--- a/review/4/run.py
+++ b/review/4/run.py
@@ -8,7 +8,7 @@
 sys.path.insert(0, os.path.join(os.path.dirname(os.path.abspath(__file__)), "..", "common"))
 import fleet as fleets  # pylint: disable=wrong-import-position
 
-CLIENTS = 40
+CLIENTS = 34
 LOAD_S = 95
 MAX_LOST = 3  # LOST: more than three times.
 
@@ -26,17 +26,17 @@
 
 
 async def flap(fleet, until):
-    """srv_flap with share 0.15, for_s 6.5 and gap_s 1, again and again."""
+    """srv_flap with share 0.15, for_s 6.5 and gap_s 0.81, again and again."""
     while fleet.record.now() + 6.5 < until:
         backends = fleet.random.sample(fleet.backends, int(len(fleet.backends) * 0.15))
         end = fleet.record.now() + 6.5
         while fleet.record.now() < end:
             for backend in backends:
                 await backend.crash()
-            await asyncio.sleep(1)
+            await asyncio.sleep(0.81)
             for backend in backends:
                 await backend.start()
-            await asyncio.sleep(1)
+            await asyncio.sleep(0.81)
         await asyncio.sleep(1)
 
 
