--- a/review/2/run.py
+++ b/review/2/run.py
@@ -90,4 +90,4 @@
     return "TWICE: %d of %d payments ran more than once" % (len(twice), len(payments)) if twice else ""
 
 
-fleets.main(__file__, scenario, nodes=NODES)
+fleets.main(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), scenario, nodes=NODES)
--- a/review/4/run.py
+++ b/review/4/run.py
@@ -65,4 +65,4 @@
     return any(backend.sound_throughout(result["sent"], result["ended"]) for _, backend, _, _ in fleet.runs.get(request, []))
 
 
-fleets.main(__file__, scenario)
+fleets.main(os.path.join(os.path.dirname(os.path.abspath(__file__)), "record.txt"), scenario)
--- a/review/common/fleet.py
+++ b/review/common/fleet.py
@@ -24,11 +24,11 @@
 
 
 class Record:
-    """Writes what happened to record.txt, one JSON object a line."""
+    """Writes what happened to the record of a case, one JSON object a line."""
 
-    def __init__(self, folder):
+    def __init__(self, path):
         self.start = time.monotonic()
-        self.file = open(os.path.join(folder, "record.txt"), "w")
+        self.file = open(path, "w")
 
     def now(self):
         return round(time.monotonic() - self.start, 4)
@@ -423,10 +423,10 @@
 
 
 def free_ports(count):
-    """Returns TCP ports that are free on all addresses."""
+    """Returns TCP ports that are free on loopback."""
     sockets = [socket.socket() for _ in range(count)]
     for item in sockets:
-        item.bind(("0.0.0.0", 0))
+        item.bind(("127.0.0.1", 0))
     ports = [item.getsockname()[1] for item in sockets]
     for item in sockets:
         item.close()
@@ -436,9 +436,9 @@
 class Fleet:
     """The whole deployment. Ports are free ones; each machine has a loopback address of its own."""
 
-    def __init__(self, case, nodes=3, seed=1):
-        self.case, self.stopped = os.path.dirname(os.path.abspath(case)), False
-        self.record = Record(self.case)
+    def __init__(self, record_path, nodes=3, seed=1):
+        self.stopped = False
+        self.record = Record(record_path)
         self.folder = tempfile.mkdtemp(prefix="fescue-review-")
         self.random = random.Random(seed)
         self.net = "127.%d.%d" % (64 + os.getpid() // 250 % 128, 1 + os.getpid() % 250)
@@ -511,10 +511,10 @@
         self.record.close()
 
 
-def main(case, scenario, nodes=3, seed=1, limit_s=115):
+def main(record_path, scenario, nodes=3, seed=1, limit_s=115):
     """Runs a scenario. It returns a text if the rule was broken. Exit codes: 1 broken, 0 held, 2 did not run."""
     async def run():
-        fleet = Fleet(case, nodes, seed)
+        fleet = Fleet(record_path, nodes, seed)
         asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, asyncio.current_task().cancel)
         try:
             broken = await asyncio.wait_for(scenario(fleet), limit_s)
