--- a/fescueramp/node/effects.h
+++ b/fescueramp/node/effects.h
@@ -54,9 +54,10 @@
   std::string m_node;
   std::string m_address;
   std::int64_t m_port = 0;
-  bool m_near = false;  ///< Whether the node is in the same availability zone.
+  bool m_near = false;          ///< Whether the node is in the same availability zone.
+  std::int64_t m_revision = 0;  ///< Revision that the node announced.
 };
-BOOST_DESCRIBE_STRUCT(FetchConfiguration, (), (m_node, m_address, m_port, m_near))
+BOOST_DESCRIBE_STRUCT(FetchConfiguration, (), (m_node, m_address, m_port, m_near, m_revision))
 
 /// Reports that a revision is in force, or why it was refused.
 struct ReportConfiguration {
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -336,8 +336,8 @@
     return;
   m_fetch_until = now + kFetchTimeout;
   const bool near = sender->second.m_zone == m_settings.m_self.m_zone;
-  m_effects.emplace_back(
-      FetchConfiguration{message.m_from, sender->second.m_address, sender->second.m_link_port, near});
+  m_effects.emplace_back(FetchConfiguration{message.m_from, sender->second.m_address,
+                                            sender->second.m_link_port, near, message.m_revision});
 }
 
 void NodeReducer::MergeConstraints(const GossipMessage& message, Instant now) {
--- a/unit_tests/kv_store_stand_in.cc
+++ b/unit_tests/kv_store_stand_in.cc
@@ -38,8 +38,8 @@
   ++m_era;
 }
 
-json::object KvStoreStandIn::ItemToJson(const std::string& key) const {
-  const Item& item = m_data.m_items.at(key);
+json::object KvStoreStandIn::ItemToJson(const Data& data, const std::string& key) {
+  const Item& item = data.m_items.at(key);
   return {{"key", key},
           {"value", EncodeBase64(item.m_value)},
           {"revision", item.m_revision},
@@ -99,15 +99,16 @@
     co_await Watch(exchange, query["prefix"], std::stoll(query["after"]));
     co_return;
   }
+  const Data& data = m_serves_copy && query["serializable"] == "1" ? m_copy : m_data;
   if (path == "/api/kv-key") {
-    if (Has(query["key"]))
-      body = ItemToJson(query["key"]);
+    if (data.m_items.contains(query["key"]))
+      body = ItemToJson(data, query["key"]);
     else
       status = 404;
   } else if (path == "/api/kv-range") {
     json::array items;
-    for (const auto& [key, item] : m_data.m_items) {
-      if (key.starts_with(query["prefix"])) items.push_back(ItemToJson(key));
+    for (const auto& [key, item] : data.m_items) {
+      if (key.starts_with(query["prefix"])) items.push_back(ItemToJson(data, key));
     }
     body["items"] = std::move(items);
     body["hasMore"] = false;
--- a/unit_tests/kv_store_stand_in.h
+++ b/unit_tests/kv_store_stand_in.h
@@ -37,6 +37,8 @@
   /// Replaces the store by the copy: writes, leases and revisions since then are lost.
   /// @param keep_leases Whether lease numbers of before are valid again, as those of other clients.
   void Restore(WatchEnd watch_end, bool keep_leases);
+  /// Answers reads that allow an old copy from the copy from now on.
+  void ServeCopy() { m_serves_copy = true; }
 
   bool Has(const std::string& key) const { return m_data.m_items.contains(key); }
   std::int64_t Revision() const { return m_data.m_revision; }
@@ -63,11 +65,13 @@
   asio::awaitable<void> HandleRequest(std::shared_ptr<HttpExchange> exchange);
   asio::awaitable<void> Watch(std::shared_ptr<HttpExchange> exchange, std::string prefix, std::int64_t after);
   asio::awaitable<void> Reply(std::shared_ptr<HttpExchange> exchange, std::int64_t status, json::object body);
-  json::object ItemToJson(const std::string& key) const;
+  json::object ItemToJson(const std::string& key) const { return ItemToJson(m_data, key); }
+  static json::object ItemToJson(const Data& data, const std::string& key);
   json::array EventsAfter(const std::string& prefix, std::int64_t after) const;
 
   Data m_data;
   Data m_copy;
+  bool m_serves_copy = false;
   std::int64_t m_era = 1;
   WatchEnd m_watch_end = WatchEnd::kResponse;
   int m_waiting_watches = 0;
