Decide for each attempt whether it runs alone

Cause: whether a request runs alone on its endpoint was a flag of the request, set at its first attempt or a retry. A hedge chose its endpoint by the present suspicion and took the slot with the old flag. If the request had been cleared in between, the endpoint could be busy and the assertion in EndpointTable::Take failed.

Change: the isolation belongs to the attempt and comes from the need by which its endpoint was chosen. In the other direction, a hedge of a new suspect now really runs alone, and a break counts with the isolation of the attempt that broke.

Why this works: choice, slot and break use one value, decided once.

--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -201,7 +201,7 @@
   for (const auto& entry : queue.InOrder()) {
     const Pending& pending = m_pending.at(entry.m_request_id);
     const EndpointTable::Need need = NeedOf(pending, now);
-    if (auto* slots = m_endpoints.Choose(need, now)) return Choice{&state, &queue, entry, slots};
+    if (auto* slots = m_endpoints.Choose(need, now)) return Choice{&state, &queue, entry, slots, need.m_alone};
     if (++examined >= kMaxLookAhead) break;
   }
   return std::nullopt;
@@ -285,21 +285,19 @@
   m_reviews.erase({pending.m_next_review, entry.m_request_id});
   for (auto& [name, state] : m_classes) ++state.m_starts_of_other_classes;
   choice.m_class->m_starts_of_other_classes = 0;
-  pending.m_alone = m_suspects.IsSuspect(pending.m_request.m_fingerprint);
-  StartOn(pending, *choice.m_slots, std::move(record), now, out);
+  StartOn(pending, *choice.m_slots, choice.m_alone, std::move(record), now, out);
 }
 
-void FairDispatcher::StartOn(Pending& pending, EndpointTable::Slots& slots, DecisionRecord record,
-                             Instant now, DispatchEffects& out) {
+void FairDispatcher::StartOn(Pending& pending, EndpointTable::Slots& slots, bool alone,
+                             DecisionRecord record, Instant now, DispatchEffects& out) {
   const DispatchRequest& request = pending.m_request;
   ++pending.m_attempts;
   ++pending.m_runs;
   m_attempt_starts.Add(now);
   pending.m_endpoint = slots.m_name;
-  const std::int64_t ticket =
-      m_endpoints.Take(slots, request.m_class_name, pending.m_alone, request.m_route, now);
+  const std::int64_t ticket = m_endpoints.Take(slots, request.m_class_name, alone, request.m_route, now);
   pending.m_running.push_back({pending.m_attempts, slots.m_name, request.m_class_name, ticket, now,
-                               slots.m_placement.GrayProbability(now)});
+                               slots.m_placement.GrayProbability(now), alone});
   ++ClassOf(request.m_class_name).m_running;
   record.m_attempt = pending.m_attempts;
   record.m_endpoint = slots.m_name;
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -65,13 +65,15 @@
     std::int64_t m_ticket = 0;  ///< Ticket of its slot.
     Instant m_started{};
     double m_gray_probability = 0;  ///< Gray-failure probability of the endpoint at the start of the attempt.
+    /// Whether it runs alone on its endpoint. The attempts of one request may differ, as the request may become
+    /// a suspect or be cleared between them.
+    bool m_alone = false;
   };
 
   /// A request from its arrival to its end.
   struct Pending {
     DispatchRequest m_request;
     std::vector<Attempt> m_running;
-    bool m_alone = false;      ///< Whether it runs alone on its endpoint, as a suspect.
     bool m_cancelled = false;  ///< Whether the caller left.
     bool m_late = false;  ///< Whether it is queued behind the requests that can still meet their targets.
     bool m_maybe_ran = false;  ///< Whether an earlier attempt may have run.
@@ -112,6 +114,7 @@
     RequestQueue* m_queue = nullptr;
     RequestQueue::Entry m_entry;
     EndpointTable::Slots* m_slots = nullptr;
+    bool m_alone = false;    ///< Whether the endpoint was chosen for a request that must run alone.
     bool m_starved = false;  ///< Whether its class goes first because it was starved.
   };
 
@@ -153,7 +156,10 @@
   std::optional<Choice> ChooseIn(ClassState& state, Instant now);
   std::optional<Choice> ChooseFrom(ClassState& state, RequestQueue& queue, Instant now);
   void Start(const Choice& choice, Instant now, DispatchEffects& out);
-  void StartOn(Pending& pending, EndpointTable::Slots& slots, DecisionRecord record, Instant now,
+
+  /// Starts an attempt on the endpoint that was chosen for it.
+  /// @param alone Whether the endpoint was chosen for a request that must run alone.
+  void StartOn(Pending& pending, EndpointTable::Slots& slots, bool alone, DecisionRecord record, Instant now,
                DispatchEffects& out);
   EndpointTable::Need NeedOf(const Pending& pending, Instant now) const;
 
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -202,7 +202,7 @@
   if (did_not_run) --pending.m_runs;
   pending.m_maybe_ran = pending.m_maybe_ran || !did_not_run;
   if (result.m_outcome == AttemptOutcome::kBroken) {
-    m_suspects.AddBreak(pending.m_request.m_fingerprint, pending.m_alone, now);
+    m_suspects.AddBreak(pending.m_request.m_fingerprint, attempt.m_alone, now);
   }
   const bool refused = result.m_outcome == AttemptOutcome::kShed;
   if ((did_not_run && !refused) || PathMayHaveFailed(result.m_outcome))
@@ -268,7 +268,7 @@
   ++pending.m_retries;
   DecisionRecord record = MakeRecord(pending, now);
   record.m_rule = OrderRule::kRetry;
-  StartOn(pending, *slots, std::move(record), now, out);
+  StartOn(pending, *slots, need.m_alone, std::move(record), now, out);
 }
 
 }  // namespace fescueramp
--- a/unit_tests/dispatch_harness.cc
+++ b/unit_tests/dispatch_harness.cc
@@ -3,11 +3,14 @@
 namespace fescueramp {
 
 DispatchHarness::DispatchHarness(int endpoints, int slots, std::unique_ptr<Dispatcher> dispatcher,
-                                 bool by_belief)
-    : m_slots(slots), m_by_belief(by_belief), m_dispatcher(std::move(dispatcher)) {
+                                 bool by_belief, double hedge_quantile)
+    : m_slots(slots),
+      m_by_belief(by_belief),
+      m_hedge_quantile(hedge_quantile),
+      m_dispatcher(std::move(dispatcher)) {
   if (!m_dispatcher) m_dispatcher = std::make_unique<FairDispatcher>(ServicePart{"work", {}}, "n0", "az0");
   DispatchEffects out;
-  m_dispatcher->Configure(SmallRouteTable(endpoints, slots, m_by_belief), out, m_clock.Now());
+  m_dispatcher->Configure(SmallRouteTable(endpoints, slots, m_by_belief, m_hedge_quantile), out, m_clock.Now());
   Apply(std::move(out));
 }
 
@@ -32,8 +35,18 @@
 
 void DispatchHarness::End(const std::string& request_id, AttemptOutcome outcome, Duration latency,
                           const EndpointStatement& statement) {
-  const StartAttempt attempt = m_running.at(request_id);
-  m_running.erase(request_id);
+  const auto attempt = m_running.extract(request_id);
+  ApplyResult(attempt.mapped(), outcome, latency, statement);
+}
+
+void DispatchHarness::EndOlder(const std::string& request_id, AttemptOutcome outcome) {
+  const auto attempt = m_older.extract(request_id);
+  ApplyResult(attempt.mapped(), outcome, std::chrono::milliseconds(20), {});
+}
+
+void DispatchHarness::ApplyResult(const StartAttempt& attempt, AttemptOutcome outcome, Duration latency,
+                                  const EndpointStatement& statement) {
+  const std::string& request_id = attempt.m_request_id;
   --m_busy[attempt.m_endpoint];
   if (statement.m_leaving) m_leaving.insert(attempt.m_endpoint);
   const bool did_not_run = outcome == AttemptOutcome::kShed || outcome == AttemptOutcome::kConnectFailed ||
@@ -65,7 +78,7 @@
 
 void DispatchHarness::Reconfigure(int endpoints) {
   DispatchEffects out;
-  m_dispatcher->Configure(SmallRouteTable(endpoints, m_slots, m_by_belief), out, m_clock.Now());
+  m_dispatcher->Configure(SmallRouteTable(endpoints, m_slots, m_by_belief, m_hedge_quantile), out, m_clock.Now());
   Apply(std::move(out));
 }
 
@@ -98,7 +111,10 @@
 void DispatchHarness::Apply(const StartAttempt& effect) {
   const std::string& id = effect.m_request_id;
   if (m_ended.contains(id)) m_violations.push_back(id + " started after its end");
-  if (m_running.contains(id)) m_violations.push_back(id + " runs twice at once");
+  if (auto running = m_running.extract(id); !running.empty()) {
+    if (m_hedge_quantile == 0) m_violations.push_back(id + " runs twice at once");
+    m_older[id] = std::move(running.mapped());
+  }
   if (!m_repeatable[id] && m_maybe_ran[id]) m_violations.push_back(id + " is not repeatable and ran again");
   if (++m_busy[effect.m_endpoint] > m_slots)
     m_violations.push_back(effect.m_endpoint + " has more work than slots");
--- a/unit_tests/dispatch_harness.h
+++ b/unit_tests/dispatch_harness.h
@@ -16,17 +16,20 @@
 class DispatchHarness {
  public:
   DispatchHarness(int endpoints, int slots, std::unique_ptr<Dispatcher> dispatcher = nullptr,
-                  bool by_belief = false);
+                  bool by_belief = false, double hedge_quantile = 0);
 
   /// Sends a request of a class that expires after `deadline`, and returns its id.
   std::string Send(const std::string& class_name, const std::string& account = "alice",
                    bool repeatable = true, Duration deadline = std::chrono::seconds(10),
                    std::uint64_t fingerprint = 0);
 
-  /// Ends the running attempt of a request.
+  /// Ends the running attempt of a request; the newer one if it was hedged.
   void End(const std::string& request_id, AttemptOutcome outcome = AttemptOutcome::kResponded,
            Duration latency = std::chrono::milliseconds(20), const EndpointStatement& statement = {});
 
+  /// Ends the older attempt of a request that was hedged.
+  void EndOlder(const std::string& request_id, AttemptOutcome outcome);
+
   void Cancel(const std::string& request_id);
   void Advance(Duration span);
 
@@ -39,6 +42,12 @@
 
   bool Running(const std::string& request_id) const { return m_running.contains(request_id); }
   std::string EndpointOf(const std::string& request_id) const;
+  /// Whether an attempt of a request was started beside another.
+  bool Hedged(const std::string& request_id) const { return m_older.contains(request_id); }
+  /// Endpoint of the older attempt of a request that was hedged.
+  std::string OlderEndpointOf(const std::string& request_id) const {
+    return m_older.at(request_id).m_endpoint;
+  }
   const std::map<std::string, StartAttempt>& AllRunning() const { return m_running; }
 
   /// Result code of an ended request; kOk if it got a response.
@@ -61,6 +70,8 @@
 
  private:
   void Apply(DispatchEffects effects);
+  void ApplyResult(const StartAttempt& attempt, AttemptOutcome outcome, Duration latency,
+                   const EndpointStatement& statement);
   void Apply(const StartAttempt& effect);
   void Apply(const FinishRequest& effect) {
     m_retry_after[effect.m_request_id] = std::chrono::milliseconds(effect.m_retry_after_ms);
@@ -75,11 +86,13 @@
 
   int m_slots;
   bool m_by_belief;
+  double m_hedge_quantile;
   ManualClock m_clock;
   std::unique_ptr<Dispatcher> m_dispatcher;
   std::map<std::string, bool> m_repeatable;
   std::map<std::string, bool> m_maybe_ran;
   std::map<std::string, StartAttempt> m_running;
+  std::map<std::string, StartAttempt> m_older;  ///< Attempts beside which another was started.
   std::map<std::string, int> m_busy;
   std::set<std::string> m_leaving;
   std::map<std::string, ResultCode> m_ended;
--- a/unit_tests/dispatch_test.cc
+++ b/unit_tests/dispatch_test.cc
@@ -275,6 +275,55 @@
   BOOST_CHECK(harness.CodeOf(again) == ResultCode::kQuarantined);
 }
 
+BOOST_AUTO_TEST_CASE(HedgeOfAClearedSuspectSharesItsEndpoint) {
+  // Guards against a recorded failure: a request that ran alone as a suspect was cleared and then hedged at a
+  // busy endpoint, whose slot was taken as if the request ran alone, and the dispatcher aborted.
+  DispatchHarness harness(4, 2, nullptr, false, 0.9);
+  LearnServiceTime(harness, "short", milliseconds(20), 200);
+  const std::string cleared = harness.Send("short", "bob", true, seconds(10), 42);
+  const std::string isolated = harness.Send("short", "bob", true, seconds(10), 42);
+  harness.End(isolated, AttemptOutcome::kBroken);
+  harness.End(cleared);
+  std::vector<std::string> others;
+  for (int i = 0; i < 3; ++i) others.push_back(harness.Send("short"));
+  harness.Advance(milliseconds(100));
+  BOOST_REQUIRE(harness.Hedged(isolated));
+  const std::string endpoint = harness.EndpointOf(isolated);
+  const bool shared = std::any_of(others.begin(), others.end(), [&](const auto& id) {
+    return harness.EndpointOf(id) == endpoint || (harness.Hedged(id) && harness.OlderEndpointOf(id) == endpoint);
+  });
+  BOOST_TEST(shared);
+  harness.End(isolated);
+  BOOST_CHECK(harness.CodeOf(isolated) == ResultCode::kOk);
+  BOOST_TEST(harness.Violations().empty());
+}
+
+BOOST_AUTO_TEST_CASE(HedgeOfANewSuspectRunsAlone) {
+  // Guards against the same cause as above: a request that became a suspect while it ran was hedged at an
+  // endpoint that then got other work, and a break there was not counted as caused by the request.
+  DispatchHarness harness(6, 2, nullptr, false, 0.9);
+  LearnServiceTime(harness, "short", milliseconds(20), 200);
+  const std::string hedged = harness.Send("short", "bob", true, seconds(10), 42);
+  const std::string broken = harness.Send("short", "bob", true, seconds(10), 42);
+  harness.End(broken, AttemptOutcome::kBroken);
+  // Occupies the endpoint that broke, which gets no hedges.
+  harness.Send("short");
+  harness.Advance(milliseconds(100));
+  BOOST_REQUIRE(harness.Hedged(hedged));
+  const std::string endpoint = harness.EndpointOf(hedged);
+  for (int i = 0; i < 8; ++i) {
+    const std::string other = harness.Send("short");
+    if (harness.Running(other)) BOOST_TEST(harness.EndpointOf(other) != endpoint);
+  }
+  // The older attempt shared its endpoint, so its break is no proof against the request.
+  harness.EndOlder(hedged, AttemptOutcome::kBroken);
+  BOOST_TEST(!harness.Ended(hedged));
+  harness.End(hedged, AttemptOutcome::kBroken);
+  BOOST_REQUIRE(harness.Ended(hedged));
+  BOOST_CHECK(harness.CodeOf(hedged) == ResultCode::kQuarantined);
+  BOOST_TEST(harness.Violations().empty());
+}
+
 BOOST_AUTO_TEST_CASE(UnresponsiveConnectionDoesNotCountAgainstEndpoint) {
   DispatchHarness harness(4, 2);
   for (int i = 0; i < 40; ++i) {
--- a/unit_tests/fixtures.cc
+++ b/unit_tests/fixtures.cc
@@ -5,7 +5,7 @@
 
 namespace fescueramp {
 
-std::string SmallObjectSetJson(int endpoints, int slots, bool by_belief) {
+std::string SmallObjectSetJson(int endpoints, int slots, bool by_belief, double hedge_quantile) {
   json::object set;
   json::array names;
   json::object bodies;
@@ -16,7 +16,10 @@
   }
   set["endpoints"] = std::move(bodies);
   set["pools"] = {{"work", {{"endpoints", names}, {"slots", slots}}}};
-  set["services"] = {{"work", {{"pool", "work"}, {"floor", 0.5}, {"by_belief", by_belief}}}};
+  set["services"] = {{"work", {{"pool", "work"},
+                               {"floor", 0.5},
+                               {"by_belief", by_belief},
+                               {"hedge_quantile", hedge_quantile}}}};
   set["priorities"] = {{"filing", {{"rank", 0}, {"max_wait_ms", 1000}}},
                        {"short", {{"rank", 1}, {"max_wait_ms", 1000}}},
                        {"long", {{"rank", 5}, {"max_wait_ms", 60000}}}};
@@ -34,9 +37,10 @@
   return json::serialize(set);
 }
 
-std::shared_ptr<const RouteTable> SmallRouteTable(int endpoints, int slots, bool by_belief) {
-  return std::make_shared<RouteTable>(1,
-                                      ParseObjectSet(SmallObjectSetJson(endpoints, slots, by_belief)).m_set);
+std::shared_ptr<const RouteTable> SmallRouteTable(int endpoints, int slots, bool by_belief,
+                                                  double hedge_quantile) {
+  return std::make_shared<RouteTable>(
+      1, ParseObjectSet(SmallObjectSetJson(endpoints, slots, by_belief, hedge_quantile)).m_set);
 }
 
 }  // namespace fescueramp
