Bound the responses of stores in bytes and time

What callers saw: nothing here yet. Other operators reported hosts that ran out of memory because a faulty server sent bytes without end.

Cause: HttpConnection::Request, which calls of the store use, kept a body as long as bytes came, and gave each 64 KiB the whole timeout. Responses of endpoints are read elsewhere, with limits.

Change: Request has limits for the body's bytes and time, and skips a few interim responses.

Why this works: all HTTP responses of a process are read by Request or by ResponseReader, and both are bounded now.

--- a/fescueramp/net/http_client.cc
+++ b/fescueramp/net/http_client.cc
@@ -21,6 +21,9 @@
 /// Limit of received bytes that are not parsed yet: a header, or one chunk line or trailer of a chunked body.
 constexpr std::size_t kMaxUnparsedBytes = 2 * kMaxHeaderBytes;
 
+constexpr int kMaxInterimResponses = 3;          ///< Per request, before the connection is closed.
+constexpr std::int64_t kFirstFinalStatus = 200;  ///< Lower statuses are interim responses (1xx).
+
 constexpr int kTcpProbeIntervalSeconds = 1;  ///< Idle time before the first probe and between probes.
 constexpr int kMaxTcpProbes = 3;             ///< Probes without a reply after which the connection fails.
 /// Longest time that sent bytes may stay unacknowledged; allows two TCP retransmissions, of which the first
@@ -194,8 +197,32 @@
   co_return std::string();
 }
 
+asio::awaitable<ResponseHead> HttpConnection::ReadFinalHead(std::chrono::milliseconds timeout) {
+  for (int skipped = 0; skipped <= kMaxInterimResponses; ++skipped) {
+    ResponseHead head = co_await ReadHead(timeout);
+    if (head.m_status >= kFirstFinalStatus) co_return head;
+  }
+  m_state->Fail("too many interim responses from", http::error::bad_status);
+}
+
+asio::awaitable<std::string> HttpConnection::ReadWholeBody(std::chrono::milliseconds timeout,
+                                                           ResponseLimits limits) {
+  const auto end = std::chrono::steady_clock::now() + limits.m_max_body_time;
+  std::string body;
+  while (true) {
+    const std::string chunk = co_await ReadBody(timeout);
+    if (chunk.empty()) co_return body;
+    if (body.size() + chunk.size() > limits.m_max_body_bytes)
+      m_state->Fail("too long a response from", http::error::body_limit);
+    if (std::chrono::steady_clock::now() > end)
+      m_state->Fail("too slow a response from", beast::error::timeout);
+    body += chunk;
+  }
+}
+
 asio::awaitable<HttpResponse> HttpConnection::Request(RequestHead head, std::string body,
-                                                      std::chrono::milliseconds timeout) {
+                                                      std::chrono::milliseconds timeout,
+                                                      ResponseLimits limits) {
   co_await Connect(timeout);
   head.m_content_length = static_cast<std::int64_t>(body.size());
   co_await SendHead(std::move(head), timeout);
@@ -203,11 +230,9 @@
     co_await SendBody(std::move(body), timeout);
     co_await FinishBody(timeout);
   }
-  const ResponseHead response_head = co_await ReadHead(timeout);
+  const ResponseHead response_head = co_await ReadFinalHead(timeout);
   HttpResponse response{response_head.m_status, response_head.m_headers, {}};
-  for (std::string chunk = co_await ReadBody(timeout); !chunk.empty(); chunk = co_await ReadBody(timeout)) {
-    response.m_body += chunk;
-  }
+  response.m_body = co_await ReadWholeBody(timeout, limits);
   co_return response;
 }
 
--- a/fescueramp/net/http_client.h
+++ b/fescueramp/net/http_client.h
@@ -18,6 +18,13 @@
   std::string m_body;
 };
 
+/// Limits of a response that is read as a whole.
+struct ResponseLimits {
+  std::size_t m_max_body_bytes = 64 * 1024 * 1024;  ///< Longest body, bytes.
+  std::chrono::milliseconds m_max_body_time{
+      60'000};  ///< Longest time from the head to the end of the body, ms.
+};
+
 /// The request could not be sent, or its response did not arrive completely.
 class HttpError : public std::runtime_error {
  public:
@@ -43,9 +50,9 @@
   asio::awaitable<void> Connect(std::chrono::milliseconds timeout);
 
   /// Sends a request and reads the complete response, connecting first if needed. `timeout` bounds each step.
-  /// @throws HttpError.
-  asio::awaitable<HttpResponse> Request(RequestHead head, std::string body,
-                                        std::chrono::milliseconds timeout);
+  /// @throws HttpError, also when the response exceeds the limits.
+  asio::awaitable<HttpResponse> Request(RequestHead head, std::string body, std::chrono::milliseconds timeout,
+                                        ResponseLimits limits = {});
 
   /// Sends a request head; the body follows unless its length is 0. A length of -1 selects chunked encoding.
   /// @throws HttpError.
@@ -85,6 +92,12 @@
   void Close();
 
  private:
+  /// Reads the head of the final response, skipping a few interim responses. @throws HttpError.
+  asio::awaitable<ResponseHead> ReadFinalHead(std::chrono::milliseconds timeout);
+
+  /// Reads the rest of a body. @throws HttpError, also when it exceeds the limits.
+  asio::awaitable<std::string> ReadWholeBody(std::chrono::milliseconds timeout, ResponseLimits limits);
+
   struct State;
   std::unique_ptr<State> m_state;
 };
--- a/fescueramp/store/pooled_http_client.cc
+++ b/fescueramp/store/pooled_http_client.cc
@@ -39,12 +39,13 @@
   if (!body.empty()) head.m_headers.push_back({"Content-Type", "application/json"});
   HttpResponse response;
   try {
-    response = co_await connection->Request(std::move(head), std::move(body), timeout);
+    response = co_await connection->Request(std::move(head), std::move(body), timeout, m_settings.m_response);
     m_available = response.m_status != kStatusUnavailable;
     if (connection->Reusable() && m_idle_connections.size() < kMaxIdleConnections)
       m_idle_connections.push_back(std::move(connection));
-  } catch (const HttpError&) {
+  } catch (const HttpError& error) {
     m_available = false;
+    m_last_problem = error.what();
     response.m_status = 0;
     // The cause of the error may affect the other idle connections too.
     m_idle_connections.clear();
--- a/fescueramp/store/pooled_http_client.h
+++ b/fescueramp/store/pooled_http_client.h
@@ -11,12 +11,16 @@
 
 namespace fescueramp {
 
-/// Address of a store and rate limit of the calls to it.
+/// Longest body of a response of a store, bytes. Values have up to 1 MiB, and lists are read page by page.
+inline constexpr std::size_t kMaxStoreResponseBytes = 8 * 1024 * 1024;
+
+/// Address of a store and limits of the calls to it.
 struct PooledHttpClientSettings {
   std::string m_address;
   std::uint16_t m_port = 0;
   double m_calls_per_s = 100;  ///< Maximum rate of calls by this node, per second; further calls are delayed.
   double m_call_burst = 200;   ///< Calls that may exceed the rate at once.
+  ResponseLimits m_response{kMaxStoreResponseBytes, std::chrono::seconds(10)};  ///< Of one call.
 };
 
 /// HTTP client of a store that reuses connections and limits the rate of calls.
@@ -25,7 +29,8 @@
   PooledHttpClient(const asio::any_io_executor& executor, const Clock& clock,
                    PooledHttpClientSettings settings);
 
-  /// Makes one call. Without a response the status is 0; the call may have taken effect or may still do so.
+  /// Makes one call. Without a response, or with one beyond the limits, the status is 0; the call may have
+  /// taken effect or may still do so.
   asio::awaitable<HttpResponse> Call(std::string method, std::string target, std::string body,
                                      std::chrono::milliseconds timeout);
 
@@ -35,6 +40,9 @@
   /// Whether the last call got a response with a status other than 503.
   bool Available() const { return m_available; }
 
+  /// Why the last call without a response got none; empty if all calls got one.
+  const std::string& LastProblem() const { return m_last_problem; }
+
  private:
   asio::awaitable<void> WaitForBudget();
 
@@ -45,6 +53,7 @@
   TokenBucket m_call_budget;
   std::int64_t m_calls = 0;
   bool m_available = true;
+  std::string m_last_problem;
 };
 
 }  // namespace fescueramp
--- a/unit_tests/kv_store_stand_in.cc
+++ b/unit_tests/kv_store_stand_in.cc
@@ -68,6 +68,16 @@
   co_await exchange->Send(status, std::move(headers), json::serialize(body));
 }
 
+asio::awaitable<void> KvStoreStandIn::SendWithoutEnd(std::shared_ptr<HttpExchange> exchange) {
+  co_await exchange->Begin(200, {}, -1);
+  while (true) {
+    // Throws when the client has closed the connection.
+    co_await exchange->Write(std::string(64 * 1024, ' '));
+    // Bounds the memory of a client that keeps everything.
+    co_await Sleep(std::chrono::milliseconds(1));
+  }
+}
+
 asio::awaitable<void> KvStoreStandIn::Watch(std::shared_ptr<HttpExchange> exchange, std::string prefix,
                                             std::int64_t after) {
   json::object body;
@@ -83,6 +93,10 @@
     exchange->Abort();
     co_return;
   }
+  if (m_endless_watches) {
+    co_await SendWithoutEnd(std::move(exchange));
+    co_return;
+  }
   body["events"] = m_era == era ? EventsAfter(prefix, after) : json::array();
   co_await Reply(exchange, 200, std::move(body));
 }
--- a/unit_tests/kv_store_stand_in.h
+++ b/unit_tests/kv_store_stand_in.h
@@ -40,6 +40,9 @@
   /// Answers reads that allow an old copy from the copy from now on.
   void ServeCopy() { m_serves_copy = true; }
 
+  /// Answers watches by bodies without an end from now on.
+  void SendEndlessWatchResponses() { m_endless_watches = true; }
+
   bool Has(const std::string& key) const { return m_data.m_items.contains(key); }
   std::int64_t Revision() const { return m_data.m_revision; }
   int WaitingWatches() const { return m_waiting_watches; }
@@ -64,6 +67,7 @@
 
   asio::awaitable<void> HandleRequest(std::shared_ptr<HttpExchange> exchange);
   asio::awaitable<void> Watch(std::shared_ptr<HttpExchange> exchange, std::string prefix, std::int64_t after);
+  static asio::awaitable<void> SendWithoutEnd(std::shared_ptr<HttpExchange> exchange);
   asio::awaitable<void> Reply(std::shared_ptr<HttpExchange> exchange, std::int64_t status, json::object body);
   json::object ItemToJson(const std::string& key) const { return ItemToJson(m_data, key); }
   static json::object ItemToJson(const Data& data, const std::string& key);
@@ -72,6 +76,7 @@
   Data m_data;
   Data m_copy;
   bool m_serves_copy = false;
+  bool m_endless_watches = false;
   std::int64_t m_era = 1;
   WatchEnd m_watch_end = WatchEnd::kResponse;
   int m_waiting_watches = 0;
--- a/unit_tests/response_reader_test.cc
+++ b/unit_tests/response_reader_test.cc
@@ -1,77 +1,16 @@
 #include "fescueramp/net/response_reader.h"
 
-#include <boost/asio/co_spawn.hpp>
-#include <boost/asio/detached.hpp>
-#include <boost/asio/io_context.hpp>
-#include <boost/asio/ip/tcp.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "fescueramp/net/endpoint_connection_pool.h"
 #include "platform/platform_dialect.h"
+#include "unit_tests/raw_endpoint.h"
 
 namespace fescueramp {
 namespace {
 
-using tcp = asio::ip::tcp;
-
-/// What the endpoint does after it has written its bytes.
-enum class After { kKeepsOpen, kCloses, kResets };
-
-/// Endpoint on loopback that reads one request and then writes given bytes.
-class RawEndpoint {
- public:
-  /// @param first Bytes written after the request.
-  /// @param repeated Bytes written repeatedly until the client closes the connection; may be empty.
-  RawEndpoint(std::string first, std::string repeated, After after = After::kKeepsOpen)
-      : m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
-        m_first(std::move(first)),
-        m_repeated(std::move(repeated)),
-        m_after(after) {
-    asio::co_spawn(m_io, Serve(), asio::detached);
-  }
-
-  /// Runs a client coroutine to completion.
-  void Await(asio::awaitable<void> work) {
-    bool done = false;
-    asio::co_spawn(m_io, std::move(work), [&](std::exception_ptr error) {
-      done = true;
-      if (error) std::rethrow_exception(error);
-    });
-    while (!done) m_io.run_one();
-  }
-
-  asio::io_context& Io() { return m_io; }
-  std::uint16_t Port() const { return m_acceptor.local_endpoint().port(); }
-
- private:
-  asio::awaitable<void> Serve() {
-    boost::system::error_code ec;
-    tcp::socket socket = co_await m_acceptor.async_accept(asio::use_awaitable);
-    std::string request(4096, '\0');
-    co_await socket.async_read_some(asio::buffer(request), asio::redirect_error(asio::use_awaitable, ec));
-    co_await asio::async_write(socket, asio::buffer(m_first), asio::redirect_error(asio::use_awaitable, ec));
-    while (!ec && !m_repeated.empty()) {
-      co_await asio::async_write(socket, asio::buffer(m_repeated),
-                                 asio::redirect_error(asio::use_awaitable, ec));
-    }
-    if (m_after == After::kResets) socket.set_option(asio::socket_base::linger(true, 0));
-    if (m_after != After::kKeepsOpen) co_return socket.close();
-    // Keep the connection open until the client closes it.
-    while (!ec) {
-      co_await socket.async_read_some(asio::buffer(request), asio::redirect_error(asio::use_awaitable, ec));
-    }
-  }
-
-  asio::io_context m_io;
-  tcp::acceptor m_acceptor;
-  std::string m_first;
-  std::string m_repeated;
-  After m_after;
-};
-
 /// Result of reading one response.
 struct ReadResult {
   ResponseInfo m_info;
@@ -119,10 +58,6 @@
     "HTTP/1.1 200 OK\r\nX-Fescueramp-Request-Id: other\r\nX-Fescueramp-Response-Seal: s\r\n";
 const std::string kChunk = "400\r\n" + std::string(1024, 'x') + "\r\n";
 
-std::ostream& operator<<(std::ostream& out, After after) {
-  return out << (after == After::kCloses ? "closed" : "reset");
-}
-
 BOOST_AUTO_TEST_SUITE(response_reader)
 
 /// Endless data that never completes a response.
