Ignore endpoints whose names can't stand in a header field

What callers saw: nothing here. The name of an entry that another writer left could add header fields to requests at an endpoint.

Cause: the name is sent to the endpoint in a field, and the decoder took any name that was not empty; the HTTP library does not check values.

--- a/unit_tests/platform_test.cc
+++ b/unit_tests/platform_test.cc
@@ -165,6 +165,15 @@
   BOOST_TEST(!DecodeEndpoint("servers/i-1", text, ManualClock().Now()).has_value());
 }
 
+const std::string kMalformedNames[] = {
+    "", " ", "i 1", "i-1\r\nX-More: y", "i-1\n", std::string("i-1\0", 4), "i\t1", "i-1\x7f"};
+
+BOOST_DATA_TEST_CASE(NameThatCannotStandInAHeaderFieldIsIgnored,
+                     boost::unit_test::data::make(kMalformedNames), name) {
+  // The name is sent to the endpoint in a header field; a line break in it would add fields of the writer's.
+  BOOST_TEST(!DecodeEndpoint("servers/" + name, EndpointText(), ManualClock().Now()).has_value());
+}
+
 BOOST_AUTO_TEST_CASE(MalformedEntryDoesNotHideOthers) {
   ManualClock clock;
   EndpointDirectory directory;
