Report a link to an invalid address as a failed connect

What callers saw: nothing here. A request forwarded to a node whose entry holds no valid address would have ended with a closed connection.

Cause: LinkPool::Get let the exception of make_address pass; its callers handle LinkError. A forward took it for a caller that had left, and a fetch of a configuration ended without a line.

Change: it is a LinkError.

Why this works: all callers handle that as a node that can't be reached.

Result: LinkToAnOddAddressFails ended with the other exception before.

--- a/fescueramp/net/link_pool.cc
+++ b/fescueramp/net/link_pool.cc
@@ -9,6 +9,9 @@
 
 asio::awaitable<std::shared_ptr<Link>> LinkPool::Get(std::string address, std::uint16_t port) {
   const std::string key = address + "|" + std::to_string(port);
+  boost::system::error_code ec;
+  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address, ec), port);
+  if (ec) throw LinkError("cannot parse the address of " + key);
   if (const auto found = m_links.find(key); found != m_links.end() && !found->second->Closed()) {
     co_return found->second;
   }
@@ -19,8 +22,6 @@
     boost::system::error_code ignored;
     if (!ec) socket->close(ignored);
   });
-  boost::system::error_code ec;
-  const asio::ip::tcp::endpoint endpoint(asio::ip::make_address(address), port);
   co_await socket->async_connect(endpoint, asio::redirect_error(asio::use_awaitable, ec));
   timer.cancel();
   if (ec || !socket->is_open()) throw LinkError("cannot connect to " + key);
--- a/unit_tests/odd_entry_test.cc
+++ b/unit_tests/odd_entry_test.cc
@@ -81,6 +81,21 @@
   BOOST_TEST(node.RunUntil([&] { return node.Revision() == 0x1d; }));
 }
 
+BOOST_AUTO_TEST_CASE(LinkToAnOddAddressFails) {
+  // A node's entry holds an address that is used only when a request is forwarded to the node.
+  asio::io_context io(1);
+  LinkPool links(io.get_executor());
+  for (const std::string address : {"", "no address", "10.0.0.1:80", "999.0.0.1"}) {
+    std::exception_ptr failure;
+    asio::co_spawn(io, links.Get(address, 7200),
+                   [&](std::exception_ptr error, const std::shared_ptr<Link>&) { failure = error; });
+    io.restart();
+    io.run();
+    BOOST_REQUIRE(failure);
+    BOOST_CHECK_THROW(std::rethrow_exception(failure), LinkError);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
