Reject result codes that this version doesn't know

What callers saw: nothing here. An entry host would have ended with all its requests if a dispatcher had sent a result code without a row in the table, as one of a later version may.

Cause: GetResultInfo asserts that the code has a row, and the code of a response head came from another process unchecked. Found by going through the assertions that events from outside can reach, after the abort in EndpointTable::Take.

Change: the response head of a dispatcher is parsed in one place, which checks the code; the forward counts as broken off.

Why this works: codes of this process come from the enumeration, and every other one passes that place.

--- a/fescueramp/core/result_code.cc
+++ b/fescueramp/core/result_code.cc
@@ -61,6 +61,11 @@
 
 std::span<const ResultInfo> ResultTable() { return kTable; }
 
+bool IsResultCode(std::int64_t number) {
+  return std::any_of(kTable.begin(), kTable.end(),
+                     [&](const auto& row) { return static_cast<std::int64_t>(row.m_code) == number; });
+}
+
 const ResultInfo& GetResultInfo(ResultCode code) {
   const auto* row =
       std::find_if(kTable.begin(), kTable.end(), [&](const auto& r) { return r.m_code == code; });
--- a/fescueramp/core/result_code.h
+++ b/fescueramp/core/result_code.h
@@ -48,6 +48,9 @@
 /// All result codes in ascending order of their numbers.
 std::span<const ResultInfo> ResultTable();
 
+/// Whether a number that another process sent is that of a result code.
+bool IsResultCode(std::int64_t number);
+
 /// Row of `code` in the result table; every enumerator has one.
 const ResultInfo& GetResultInfo(ResultCode code);
 
--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -442,8 +442,7 @@
 asio::awaitable<void> DispatchHandler::CopyResponse(std::shared_ptr<Call> call,
                                                     std::shared_ptr<LinkStream> owner_stream) {
   co_await owner_stream->WaitHeaders();
-  const auto response_head =
-      wire::ParseJsonField<ResponseHead>(owner_stream->Headers(), wire::kResponseField);
+  const ResponseHead response_head = wire::ParseResponseHead(owner_stream->Headers());
   call->m_streamed_attempt = 1;
   call->m_stream->SendHeaders({{":status", "200"}, wire::MakeJsonField(wire::kResponseField, response_head)});
   for (std::string chunk = co_await owner_stream->Read(); !chunk.empty();
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -253,7 +253,7 @@
   co_await stream->WaitHeaders();
   ResponseHead head;
   try {
-    head = wire::ParseJsonField<ResponseHead>(stream->Headers(), wire::kResponseField);
+    head = wire::ParseResponseHead(stream->Headers());
   } catch (const Error&) {
     throw LinkError("malformed response head from a dispatcher");
   }
--- a/fescueramp/daemon/wire.h
+++ b/fescueramp/daemon/wire.h
@@ -48,4 +48,13 @@
   return FromJson<T>(ParseJson(FindHeader(headers, name)));
 }
 
+/// Parses the head of a dispatcher's response. @throws Error when it is missing, malformed, or has a result
+/// code that this version doesn't know.
+inline ResponseHead ParseResponseHead(const std::vector<HeaderField>& headers) {
+  ResponseHead head = ParseJsonField<ResponseHead>(headers, kResponseField);
+  if (!IsResultCode(head.m_code))
+    throw Error(ResultCode::kMalformedRequest, "unknown result code " + std::to_string(head.m_code));
+  return head;
+}
+
 }  // namespace fescueramp::wire
