Don't run a request again that an older configuration routed

Cause: whether a request may run more than once is decided by the entry host's configuration, and the dispatcher did not ask how old that was.

Change: a request that arrives with an older revision than the dispatcher's is neither hedged nor retried after it may have run. Requests in progress when a configuration changes keep what they had, and refusals are retried as before.

Why this works: only the newer configuration can say that the route may not run twice, and the dispatcher knows that there is one. It is a second line for entry hosts that are behind for any reason; what an entry host forwards again itself after a lost link is not covered.

--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -140,6 +140,9 @@
   Pending pending;
   pending.m_request = request;
   pending.m_arrival = now;
+  // Requests in traces of older versions carry no revision.
+  const bool outdated = request.m_revision > 0 && request.m_revision < m_table->Revision();
+  pending.m_may_run_again = request.m_repeatable && !outdated;
   if (RedirectToOtherPart(pending, now, out)) return;
   pending.m_arrival_sequence = m_next_arrival++;
   const auto& accounts = m_table->Set().m_accounts;
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -74,6 +74,9 @@
   struct Pending {
     DispatchRequest m_request;
     std::vector<Attempt> m_running;
+    /// Whether an attempt may start beside or after one that may have run. The entry host's configuration may
+    /// be older than this dispatcher's, and the newer one may forbid it.
+    bool m_may_run_again = false;
     bool m_cancelled = false;  ///< Whether the caller left.
     bool m_late = false;  ///< Whether it is queued behind the requests that can still meet their targets.
     bool m_maybe_ran = false;  ///< Whether an earlier attempt may have run.
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -191,7 +191,7 @@
                          result.m_outcome != AttemptOutcome::kUnreachable;
     return !arrived || m_retry_budget.Take(now);
   }
-  if (!pending.m_request.m_repeatable || pending.m_runs >= pending.m_request.m_max_attempts) return false;
+  if (!pending.m_may_run_again || pending.m_runs >= pending.m_request.m_max_attempts) return false;
   if (m_suspects.IsQuarantined(pending.m_request.m_fingerprint)) return false;
   return m_retry_budget.Take(now);
 }
@@ -240,7 +240,7 @@
 void FairDispatcher::HedgeOverdueAttempts(Instant now, DispatchEffects& out) {
   std::vector<std::string> overdue;
   for (auto& [id, pending] : m_pending) {
-    const bool single = pending.m_running.size() == 1 && pending.m_request.m_repeatable;
+    const bool single = pending.m_running.size() == 1 && pending.m_may_run_again;
     if (!single || pending.m_cancelled || pending.m_runs >= pending.m_request.m_max_attempts) continue;
     const Duration target = std::chrono::milliseconds(pending.m_request.m_target_latency_ms);
     if (now - pending.m_running.front().m_started >= m_hedges.Delay(pending.m_request.m_route, target)) {
--- a/unit_tests/dispatch_harness.cc
+++ b/unit_tests/dispatch_harness.cc
@@ -25,6 +25,7 @@
   request.m_class_name = class_name;
   request.m_account = account;
   request.m_repeatable = repeatable;
+  request.m_revision = m_entry_revision;
   request.m_fingerprint = fingerprint != 0 ? fingerprint : static_cast<std::uint64_t>(m_next_id) + 1'000'000;
   request.m_deadline = m_clock.Now() + deadline;
   m_repeatable[request.m_request_id] = repeatable;
@@ -77,9 +78,9 @@
   Apply(std::move(out));
 }
 
-void DispatchHarness::Reconfigure(int endpoints) {
+void DispatchHarness::Reconfigure(int endpoints, std::int64_t revision) {
   DispatchEffects out;
-  m_dispatcher->Configure(SmallRouteTable(endpoints, m_slots, m_by_belief, m_hedge_quantile), out,
+  m_dispatcher->Configure(SmallRouteTable(endpoints, m_slots, m_by_belief, m_hedge_quantile, revision), out,
                           m_clock.Now());
   Apply(std::move(out));
 }
--- a/unit_tests/dispatch_harness.h
+++ b/unit_tests/dispatch_harness.h
@@ -34,7 +34,10 @@
   void Advance(Duration span);
 
   /// Applies a configuration with another number of endpoints.
-  void Reconfigure(int endpoints);
+  void Reconfigure(int endpoints, std::int64_t revision = 1);
+
+  /// Sets the revision by which entry hosts route the requests that are sent from now on.
+  void SetEntryRevision(std::int64_t revision) { m_entry_revision = revision; }
 
   /// Advances the clock as during a pause of the node's process, without ticks.
   void Pause(Duration span);
@@ -87,6 +90,7 @@
   int m_slots;
   bool m_by_belief;
   double m_hedge_quantile;
+  std::int64_t m_entry_revision = 1;
   ManualClock m_clock;
   std::unique_ptr<Dispatcher> m_dispatcher;
   std::map<std::string, bool> m_repeatable;
--- a/unit_tests/dispatch_test.cc
+++ b/unit_tests/dispatch_test.cc
@@ -325,6 +325,45 @@
   BOOST_TEST(harness.Violations().empty());
 }
 
+/// Revision by which the entry host routed a request, at a dispatcher with revision 2.
+struct EntryRevisionCase {
+  std::int64_t m_revision;
+  bool m_may_run_again;
+};
+
+std::ostream& operator<<(std::ostream& out, const EntryRevisionCase& row) { return out << row.m_revision; }
+
+const EntryRevisionCase kEntryRevisions[] = {{1, false}, {2, true}, {3, true}};
+
+BOOST_DATA_TEST_CASE(RequestRoutedByAnOlderRevisionRunsOnce, boost::unit_test::data::make(kEntryRevisions),
+                     row) {
+  // Guards against a recorded failure: an entry host with an old configuration took payments for repeatable
+  // ones, and the dispatcher, which had the newer configuration, ran them on a second endpoint.
+  DispatchHarness harness(6, 2, nullptr, false, 0.9);
+  LearnServiceTime(harness, "short", milliseconds(20), 200);
+  harness.Reconfigure(6, 2);
+  harness.SetEntryRevision(row.m_revision);
+  const std::string overdue = harness.Send("short");
+  const std::string broken = harness.Send("short");
+  const std::string refused = harness.Send("short");
+  harness.End(broken, AttemptOutcome::kBroken);
+  BOOST_TEST(harness.Running(broken) == row.m_may_run_again);
+  harness.End(refused, AttemptOutcome::kShed);
+  harness.Advance(milliseconds(20));
+  BOOST_TEST(harness.Running(refused));
+  harness.Advance(milliseconds(80));
+  BOOST_TEST(harness.Hedged(overdue) == row.m_may_run_again);
+}
+
+BOOST_AUTO_TEST_CASE(RequestInProgressDuringAChangeIsStillHedged) {
+  DispatchHarness harness(6, 2, nullptr, false, 0.9);
+  LearnServiceTime(harness, "short", milliseconds(20), 200);
+  const std::string request = harness.Send("short");
+  harness.Reconfigure(6, 2);
+  harness.Advance(milliseconds(100));
+  BOOST_TEST(harness.Hedged(request));
+}
+
 BOOST_AUTO_TEST_CASE(UnresponsiveConnectionDoesNotCountAgainstEndpoint) {
   DispatchHarness harness(4, 2);
   for (int i = 0; i < 40; ++i) {
--- a/unit_tests/fixtures.cc
+++ b/unit_tests/fixtures.cc
@@ -37,9 +37,9 @@
 }
 
 std::shared_ptr<const RouteTable> SmallRouteTable(int endpoints, int slots, bool by_belief,
-                                                  double hedge_quantile) {
+                                                  double hedge_quantile, std::int64_t revision) {
   return std::make_shared<RouteTable>(
-      1, ParseObjectSet(SmallObjectSetJson(endpoints, slots, by_belief, hedge_quantile)).m_set);
+      revision, ParseObjectSet(SmallObjectSetJson(endpoints, slots, by_belief, hedge_quantile)).m_set);
 }
 
 }  // namespace fescueramp
--- a/unit_tests/fixtures.h
+++ b/unit_tests/fixtures.h
@@ -12,8 +12,8 @@
 /// "limited". Overdue requests are hedged if there is a quantile.
 std::string SmallObjectSetJson(int endpoints, int slots, bool by_belief = false, double hedge_quantile = 0);
 
-/// Route table of SmallObjectSetJson with the same arguments, as revision 1.
+/// Route table of SmallObjectSetJson with the same arguments.
 std::shared_ptr<const RouteTable> SmallRouteTable(int endpoints, int slots, bool by_belief = false,
-                                                  double hedge_quantile = 0);
+                                                  double hedge_quantile = 0, std::int64_t revision = 1);
 
 }  // namespace fescueramp
