--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -161,6 +161,46 @@
   BOOST_TEST(started[0].m_endpoint == "i-2");
 }
 
+/// Runs a node while all other members confirm that they are alive. Returns the watch scopes that it set.
+std::vector<SetWatchScope> RunAmongLiveMembers(DiscoveryNode& node, Duration span) {
+  std::vector<SetWatchScope> scopes;
+  for (const Instant end = node.Now() + span; node.Now() < end;) {
+    for (auto& scope : node.Run<SetWatchScope>(milliseconds(50))) scopes.push_back(scope);
+    for (int i = 1; i <= 6; ++i) {
+      GossipMessage message;
+      message.m_kind = GossipKind::kAck;
+      message.m_from = DiscoveryNode::Node(i).m_node;
+      message.m_revision = 1;
+      message.m_updates.push_back(DiscoveryNode::Node(i));
+      message.m_updates.back().m_incarnation = node.Now().time_since_epoch().count();
+      node.Post(GossipReceived{DiscoveryNode::Node(i).m_address, 7100, message});
+    }
+  }
+  return scopes;
+}
+
+BOOST_AUTO_TEST_CASE(DispatcherOpenedAgainWaitsForACurrentList) {
+  // Between two times of dispatching, a node does not watch the list of endpoints. The list that it had must
+  // not be used again: its endpoints may have left since.
+  DiscoveryNode node(6);
+  BOOST_REQUIRE(node.Reducer().OwnerOf("work") != "n0");
+  node.Post(DispatchArrived{MakeFilingRequest("x-1", node.Now(), 2), 0});
+  BOOST_REQUIRE(!RunAmongLiveMembers(node, milliseconds(100)).empty());
+  node.Post(EndpointsListed{1, {MakeLiveEndpoint("i-1")}});
+  node.Post(
+      AttemptEnded{AttemptResult{"x-1", "work", 1, AttemptOutcome::kResponded, 200, milliseconds(150)}});
+  const auto scopes = RunAmongLiveMembers(node, seconds(8));
+  BOOST_REQUIRE(!scopes.empty());
+  BOOST_REQUIRE(!scopes.back().m_scope.m_endpoints);
+  const auto started = DiscoveryNode::Select<StartAttempt>(
+      node.Post(DispatchArrived{MakeFilingRequest("x-2", node.Now(), 2), 0}));
+  BOOST_TEST(started.empty());
+  const auto restarted =
+      DiscoveryNode::Select<StartAttempt>(node.Post(EndpointsListed{2, {MakeLiveEndpoint("i-2")}}));
+  BOOST_REQUIRE(restarted.size() == 1U);
+  BOOST_TEST(restarted[0].m_endpoint == "i-2");
+}
+
 BOOST_AUTO_TEST_CASE(LeavingEndpointGetsNoNewWork) {
   DiscoveryNode node(3);
   node.Post(EndpointsListed{1, {MakeLiveEndpoint("i-1"), MakeLiveEndpoint("i-2")}});
