Show that odd responses of the store and odd fields of nodes are rejected

Cause: the report of an odd entry asks for every decoder; those of whole responses of the store and of fields between nodes had no such test.

Change: tests for 15 kinds of responses and 6 kinds of fields.

--- a/unit_tests/odd_entry_test.cc
+++ b/unit_tests/odd_entry_test.cc
@@ -3,6 +3,8 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
+#include "fescueramp/daemon/wire.h"
+#include "unit_tests/raw_endpoint.h"
 #include "unit_tests/watching_node.h"
 
 namespace fescueramp::platform {
@@ -81,6 +83,56 @@
   BOOST_TEST(node.RunUntil([&] { return node.Revision() == 0x1d; }));
 }
 
+/// Body of a response of the store, to a read of a list.
+struct OddListing {
+  const char* m_name;
+  std::string m_body;
+};
+
+std::ostream& operator<<(std::ostream& out, const OddListing& row) { return out << row.m_name; }
+
+const OddListing kOddListings[] = {
+    {"empty", ""},
+    {"no JSON", "items"},
+    {"a list", "[]"},
+    {"nested too deeply", kDeepList},
+    {"an unknown field nested too deeply", R"({"currentRev":7,"items":[],"x":)" + DeepObject() + "}"},
+    {"no revision", R"({"items":[]})"},
+    {"revision beyond 64 bits", R"({"currentRev":18446744073709551616,"items":[]})"},
+    {"revision beyond a double", R"({"currentRev":1e400,"items":[]})"},
+    {"revision as text", R"({"currentRev":"7","items":[]})"},
+    {"no items", R"({"currentRev":7})"},
+    {"items that are no list", R"({"currentRev":7,"items":{}})"},
+    {"an item that is no object", R"({"currentRev":7,"items":[7]})"},
+    {"an item without a key", R"({"currentRev":7,"items":[{"revision":3}]})"},
+    {"an item's revision out of range", R"({"currentRev":7,"items":[{"key":"a","revision":1e30}]})"},
+    {"more pages as a number", R"({"currentRev":7,"items":[],"hasMore":7})"},
+};
+
+BOOST_DATA_TEST_CASE(OddResponseOfTheStoreIsMalformed, boost::unit_test::data::make(kOddListings), row) {
+  RawEndpoint store(
+      "HTTP/1.1 200 OK\r\nContent-Length: " + std::to_string(row.m_body.size()) + "\r\n\r\n" + row.m_body,
+      "");
+  const ManualClock clock;
+  KvClient client(store.Io().get_executor(), clock, {"127.0.0.1", store.Port()}, std::chrono::seconds(20));
+  KvResponse response;
+  const auto work = [&]() -> asio::awaitable<void> {
+    response = co_await client.List("servers/", Freshness::kCurrent);
+  };
+  store.Await(work());
+  BOOST_CHECK_EQUAL(EnumName(response.m_status), EnumName(KvStatus::kMalformed));
+  BOOST_TEST(response.m_items.empty());
+}
+
+BOOST_AUTO_TEST_CASE(OddFieldBetweenNodesIsRejected) {
+  for (const std::string& text : {std::string(), std::string("\x80\xff"), std::string("7"),
+                                  std::string("[1e400]"), kDeepList, DeepObject()}) {
+    BOOST_CHECK_THROW(
+        wire::ParseJsonField<DispatchRequest>({{wire::kDispatchField, text}}, wire::kDispatchField), Error);
+    BOOST_CHECK_THROW(wire::ParseResponseHead({{wire::kResponseField, text}}), Error);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(LinkToAnOddAddressFails) {
   // A node's entry holds an address that is used only when a request is forwarded to the node.
   asio::io_context io(1);
