--- a/unit_tests/dispatch_test.cc
+++ b/unit_tests/dispatch_test.cc
@@ -300,8 +300,8 @@
 }
 
 BOOST_AUTO_TEST_CASE(HedgeOfANewSuspectRunsAlone) {
-  // Guards against the same cause as above: a request that became a suspect while it ran was hedged at an
-  // endpoint that then got other work, and a break there was not counted as caused by the request.
+  // A request that became a suspect while it ran was hedged at an endpoint that then got other work, and a
+  // break there was not counted as caused by the request.
   DispatchHarness harness(6, 2, nullptr, false, 0.9);
   LearnServiceTime(harness, "short", milliseconds(20), 200);
   const std::string hedged = harness.Send("short", "bob", true, seconds(10), 42);
--- a/unit_tests/old_configuration_test.cc
+++ b/unit_tests/old_configuration_test.cc
@@ -88,7 +88,8 @@
 };
 
 BOOST_DATA_TEST_CASE(CopyOlderThanAnnouncedIsNotTaken, boost::unit_test::data::make(kAnnouncements), row) {
-  // Guards against the same failure where another node announces the newer revision before the store is read.
+  // A node that learns of a newer revision may read a copy of the store, which can be older than that
+  // revision.
   WatchingNode node;
   node.Store().Put("op/config", ConfigText("0000001c"));
   node.Store().Copy();
