Keep the tests that were moved or extended as strict as before

The raw server closed after 64 MiB in every test, so that EndlessDataIsCutOff would have passed for a client that reads a head without a limit. DispatchHarness::End took an attempt that is not running without an error.

End and EndOlder throw for an attempt that does not run, and a third attempt at once is a violation.

--- a/unit_tests/dispatch_harness.cc
+++ b/unit_tests/dispatch_harness.cc
@@ -37,13 +37,15 @@
 
 void DispatchHarness::End(const std::string& request_id, AttemptOutcome outcome, Duration latency,
                           const EndpointStatement& statement) {
-  const auto attempt = m_running.extract(request_id);
-  ApplyResult(attempt.mapped(), outcome, latency, statement);
+  const StartAttempt attempt = m_running.at(request_id);
+  m_running.erase(request_id);
+  ApplyResult(attempt, outcome, latency, statement);
 }
 
 void DispatchHarness::EndOlder(const std::string& request_id, AttemptOutcome outcome) {
-  const auto attempt = m_older.extract(request_id);
-  ApplyResult(attempt.mapped(), outcome, std::chrono::milliseconds(20), {});
+  const StartAttempt attempt = m_older.at(request_id);
+  m_older.erase(request_id);
+  ApplyResult(attempt, outcome, std::chrono::milliseconds(20), {});
 }
 
 void DispatchHarness::ApplyResult(const StartAttempt& attempt, AttemptOutcome outcome, Duration latency,
@@ -116,6 +118,7 @@
   if (m_ended.contains(id)) m_violations.push_back(id + " started after its end");
   if (auto running = m_running.extract(id); !running.empty()) {
     if (m_hedge_quantile == 0) m_violations.push_back(id + " runs twice at once");
+    if (m_older.contains(id)) m_violations.push_back(id + " runs three times at once");
     m_older[id] = std::move(running.mapped());
   }
   if (!m_repeatable[id] && m_maybe_ran[id]) m_violations.push_back(id + " is not repeatable and ran again");
--- a/unit_tests/endless_endpoint_test.cc
+++ b/unit_tests/endless_endpoint_test.cc
@@ -162,7 +162,7 @@
   // Guards against a reported failure elsewhere: a faulty endpoint sent bytes until its caller closed, and
   // the host kept them all until it ran out of memory. The entry host doesn't read, so nothing can be passed
   // on.
-  RawEndpoint endpoint(row.m_first, row.m_repeated);
+  RawEndpoint endpoint(row.m_first, row.m_repeated, After::kKeepsOpen, kMemoryTestBytes);
   const auto result = DispatchToOneEndpoint(endpoint).Run();
   BOOST_REQUIRE(result.has_value());
   BOOST_CHECK_EQUAL(EnumName(result->m_outcome), EnumName(row.m_outcome));
--- a/unit_tests/endless_store_test.cc
+++ b/unit_tests/endless_store_test.cc
@@ -42,7 +42,7 @@
                      row) {
   // Guards against a reported failure elsewhere: a faulty server sent bytes until its caller closed, and the
   // caller kept them all until it ran out of memory.
-  RawEndpoint store(row.m_first, row.m_repeated);
+  RawEndpoint store(row.m_first, row.m_repeated, After::kKeepsOpen, kMemoryTestBytes);
   const SteadyWallClock clock;
   PooledHttpClient client(store.Io().get_executor(), clock, {"127.0.0.1", store.Port()});
   HttpResponse response;
--- a/unit_tests/raw_endpoint.cc
+++ b/unit_tests/raw_endpoint.cc
@@ -14,10 +14,11 @@
   return out << (after == After::kCloses ? "closed" : "reset");
 }
 
-RawEndpoint::RawEndpoint(std::string first, std::string repeated, After after)
+RawEndpoint::RawEndpoint(std::string first, std::string repeated, After after, std::size_t max_repeated_bytes)
     : m_acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0)),
       m_first(std::move(first)),
       m_repeated(std::move(repeated)),
+      m_max_repeated_bytes(max_repeated_bytes),
       m_after(after) {
   asio::co_spawn(m_io, Serve(), asio::detached);
 }
@@ -38,7 +39,7 @@
   co_await socket.async_read_some(asio::buffer(request), asio::redirect_error(asio::use_awaitable, ec));
   co_await asio::async_write(socket, asio::buffer(m_first), asio::redirect_error(asio::use_awaitable, ec));
   while (!ec && !m_repeated.empty()) {
-    if (m_repeated_bytes >= kMaxRepeatedBytes) co_return socket.close();
+    if (m_repeated_bytes >= m_max_repeated_bytes) co_return socket.close();
     m_repeated_bytes += co_await asio::async_write(socket, asio::buffer(m_repeated),
                                                    asio::redirect_error(asio::use_awaitable, ec));
   }
--- a/unit_tests/raw_endpoint.h
+++ b/unit_tests/raw_endpoint.h
@@ -4,6 +4,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <cstdint>
+#include <limits>
 #include <ostream>
 #include <string>
 
@@ -11,6 +12,10 @@
 
 namespace asio = boost::asio;
 
+/// Limit of repeated bytes for tests of memory: a client without a limit of its own ends before it fills the
+/// memory of the machine.
+inline constexpr std::size_t kMemoryTestBytes = 64 * 1024 * 1024;
+
 /// What the endpoint does after it has written its bytes.
 enum class After { kKeepsOpen, kCloses, kResets };
 
@@ -19,12 +24,11 @@
 /// Server on loopback that reads one request and then writes given bytes.
 class RawEndpoint {
  public:
-  /// Repeated bytes after which the connection is closed, so that a client without a limit ends.
-  static constexpr std::size_t kMaxRepeatedBytes = 64 * 1024 * 1024;
-
   /// @param first Bytes written after the request.
   /// @param repeated Bytes written repeatedly until the client closes the connection; may be empty.
-  RawEndpoint(std::string first, std::string repeated, After after = After::kKeepsOpen);
+  /// @param max_repeated_bytes Repeated bytes after which the connection is closed.
+  RawEndpoint(std::string first, std::string repeated, After after = After::kKeepsOpen,
+              std::size_t max_repeated_bytes = std::numeric_limits<std::size_t>::max());
 
   /// Runs a client coroutine to completion.
   void Await(asio::awaitable<void> work);
@@ -43,6 +47,7 @@
   std::string m_first;
   std::string m_repeated;
   std::size_t m_repeated_bytes = 0;
+  std::size_t m_max_repeated_bytes;
   After m_after;
 };
 
