Log which requests share a caller's connection, and which response closes it

Cause: the hypotheses of the incident can't be told apart by the logs. Where a request is read behind a response that announced the close, its request_ended line says OK. Change: request_ended has the number of the connection and whether the response announced the close; connection_ended is written for connections that end with requests unanswered or with unread bytes.

--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -338,7 +338,9 @@
                           {"patience_ms", call.m_metadata.m_patience_ms},
                           {"dispatcher", call.m_dispatcher},
                           {"forwards", call.m_forwards},
-                          {"revision", call.m_revision}});
+                          {"revision", call.m_revision},
+                          {"connection", call.m_exchange->Connection()},
+                          {"closes_connection", call.m_exchange->AnnouncedClose()}});
 }
 
 void EntryHandler::LogForward(const Call& call, const ForwardRequest& forward, ForwardOutcome outcome) {
--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -126,10 +126,11 @@
   caller.m_address = m_settings.m_address;
   caller.m_port = ToPort(m_settings.m_caller_port);
   caller.m_malformed_request_body = MalformedRequestBody;
+  HttpServerSettings admin = caller;
+  caller.m_connection_ended = [this](const ConnectionSummary& summary) { LogConnectionEnd(summary); };
   m_caller_server = std::make_unique<HttpServer>(
       executor, caller,
       [this](std::shared_ptr<HttpExchange> exchange) { return m_entry->Handle(std::move(exchange)); });
-  HttpServerSettings admin = caller;
   admin.m_port = ToPort(m_settings.m_admin_port);
   m_admin_server = std::make_unique<HttpServer>(
       executor, admin,
@@ -154,6 +155,15 @@
   asio::co_spawn(m_io, AcceptLinks(), asio::detached);
 }
 
+void NodeDaemon::LogConnectionEnd(const ConnectionSummary& summary) {
+  if (summary.m_requests == summary.m_responses && summary.m_discarded_bytes == 0) return;
+  m_log.Write("connection_ended", {{"connection", summary.m_connection},
+                                   {"end", EnumName(summary.m_end)},
+                                   {"requests", summary.m_requests},
+                                   {"responses", summary.m_responses},
+                                   {"discarded_bytes", summary.m_discarded_bytes}});
+}
+
 asio::awaitable<void> NodeDaemon::HandleReadiness(std::shared_ptr<HttpExchange> exchange) {
   const bool ready = m_reducer.Ready();
   const std::int64_t status = ready ? kStatusOk : kStatusUnavailable;
--- a/fescueramp/daemon/node_daemon.h
+++ b/fescueramp/daemon/node_daemon.h
@@ -68,6 +68,9 @@
   asio::awaitable<void> HandleReadiness(std::shared_ptr<HttpExchange> exchange);
   void MakeControlPlane(const Adapter* adapter);
   void OpenServers();
+
+  /// Logs the end of a caller's connection on which requests were left without a response or unread.
+  void LogConnectionEnd(const ConnectionSummary& summary);
   void OpenLinkPort();
   void ApplyListenerLimits();
   asio::awaitable<void> WatchSettingsFile();
--- /dev/null
+++ b/fescueramp/net/connection_summary.h
@@ -0,0 +1,34 @@
+#pragma once
+
+#include <array>
+#include <cstddef>
+#include <cstdint>
+
+#include "fescueramp/core/enum_table.h"
+
+namespace fescueramp {
+
+/// Why a server connection ended.
+enum class ConnectionEnd {
+  kClientClosed,     ///< The client closed it, or it broke.
+  kIdle,             ///< No request was pending.
+  kLastResponse,     ///< A response announced the close.
+  kResponseMissing,  ///< A request ended without a complete response.
+};
+
+template <>
+struct EnumTable<ConnectionEnd> {
+  static constexpr std::array<std::string_view, 4> kNames = {"client_closed", "idle", "last_response",
+                                                             "response_missing"};
+};
+
+/// What a server connection carried.
+struct ConnectionSummary {
+  std::uint64_t m_connection = 0;  ///< Number of the connection at its server.
+  ConnectionEnd m_end = ConnectionEnd::kClientClosed;
+  std::int64_t m_requests = 0;        ///< Requests that were accepted.
+  std::int64_t m_responses = 0;       ///< Complete responses that were written.
+  std::size_t m_discarded_bytes = 0;  ///< Bytes that came behind the last request and were not read as one.
+};
+
+}  // namespace fescueramp
--- a/fescueramp/net/http_server.cc
+++ b/fescueramp/net/http_server.cc
@@ -32,6 +32,7 @@
   HttpServerSettings m_settings;
   Handler m_handler;
   std::set<std::shared_ptr<ServerConnection>> m_connections;
+  std::uint64_t m_last_connection = 0;  ///< Number of the connection that was accepted last.
   bool m_stopping = false;
   bool m_draining = false;
 };
@@ -91,12 +92,13 @@
 }
 
 asio::awaitable<void> HttpServer::Serve(std::shared_ptr<State> state, tcp::socket socket) {
-  const auto connection =
-      std::make_shared<ServerConnection>(std::move(socket), state->m_settings, state->m_handler);
+  const auto connection = std::make_shared<ServerConnection>(std::move(socket), state->m_settings,
+                                                             state->m_handler, ++state->m_last_connection);
   if (state->m_draining) connection->Drain();
   state->m_connections.insert(connection);
   co_await connection->Run();
   state->m_connections.erase(connection);
+  if (state->m_settings.m_connection_ended) state->m_settings.m_connection_ended(connection->Summary());
 }
 
 }  // namespace fescueramp
--- a/fescueramp/net/http_server.h
+++ b/fescueramp/net/http_server.h
@@ -8,6 +8,7 @@
 #include <vector>
 
 #include "fescueramp/net/async_condition.h"
+#include "fescueramp/net/connection_summary.h"
 #include "fescueramp/net/http_types.h"
 
 namespace fescueramp {
@@ -44,6 +45,12 @@
   /// Sets a handler that is called once when the client closes its connection before the response has ended.
   /// Call this only after the request body has been read.
   virtual void WatchForClose(std::function<void()> handler) = 0;
+
+  /// Number of the request's connection at its server.
+  virtual std::uint64_t Connection() const = 0;
+
+  /// Whether the response announced that the connection closes after it.
+  virtual bool AnnouncedClose() const = 0;
 };
 
 /// Reads the complete request body into memory without a limit; only for trusted clients.
@@ -64,6 +71,8 @@
   std::chrono::seconds m_body_timeout{20};  ///< Longest wait for one read or write of a body.
   std::function<std::string(const std::string& problem)>
       m_malformed_request_body;  ///< Makes the body of the response to a malformed request.
+  std::function<void(const ConnectionSummary& summary)>
+      m_connection_ended;  ///< Called when a connection has ended.
 };
 
 /// HTTP/1.1 server that runs the handler in one coroutine per request.
--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -47,12 +47,13 @@
 }  // namespace
 
 ServerConnection::ServerConnection(tcp::socket socket, const HttpServerSettings& settings,
-                                   const Handler& handler)
+                                   const Handler& handler, std::uint64_t number)
     : m_stream(std::move(socket)),
       m_settings(settings),
       m_handler(handler),
       m_changed(m_stream.get_executor()),
       m_idle_timer(m_stream.get_executor()) {
+  m_summary.m_connection = number;
   boost::system::error_code ignored;
   m_stream.socket().set_option(tcp::no_delay(true), ignored);
 }
@@ -75,7 +76,7 @@
   while (!m_open_exchanges.empty() && !m_closed) co_await m_changed.Wait();
   co_await StopBodyReads();
   if (!m_closed) co_await Linger();
-  Close();
+  Close(m_last_request_read ? ConnectionEnd::kLastResponse : ConnectionEnd::kClientClosed);
 }
 
 asio::awaitable<void> ServerConnection::StopBodyReads() {
@@ -91,8 +92,10 @@
   m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
   std::array<char, kLingerChunkBytes> discarded{};
   m_stream.expires_after(kLingerTimeout);
+  m_summary.m_discarded_bytes += m_buffer.size();
   while (!ec && !m_closed) {
-    co_await m_stream.async_read_some(asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ec));
+    m_summary.m_discarded_bytes += co_await m_stream.async_read_some(
+        asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ec));
   }
 }
 
@@ -151,6 +154,7 @@
   }
   const auto exchange = std::make_shared<ServerExchange>(shared_from_this(), parser);
   m_open_exchanges.push_back(exchange);
+  ++m_summary.m_requests;
   asio::co_spawn(m_stream.get_executor(), Serve(exchange), asio::detached);
   co_return true;
 }
@@ -163,7 +167,7 @@
   }
   exchange->SetHandlerFinished();
   // Without a response to this request, the client would match the following responses to wrong requests.
-  if (!exchange->ResponseSent()) Close();
+  if (!exchange->ResponseSent()) Close(ConnectionEnd::kResponseMissing);
   std::erase(m_open_exchanges, exchange);
   // No further request is read, so cancel the wait for one.
   if (m_last_request_read && m_open_exchanges.empty() && !m_closed) m_stream.cancel();
@@ -174,6 +178,7 @@
 asio::awaitable<void> ServerConnection::RejectRequest(HeaderResult result) {
   while (!m_open_exchanges.empty() && !m_closed) co_await m_changed.Wait();
   if (m_closed) co_return;
+  m_last_request_read = true;
   http::response<http::string_body> response;
   response.version(11);
   response.result(static_cast<unsigned>(result.m_status));
@@ -197,12 +202,13 @@
 void ServerConnection::CloseIdle() {
   beast::error_code ec;
   const bool request_pending = m_reading_header || m_buffer.size() > 0 || m_stream.socket().available(ec) > 0;
-  if (m_open_exchanges.empty() && !request_pending) Close();
+  if (m_open_exchanges.empty() && !request_pending) Close(ConnectionEnd::kIdle);
 }
 
-void ServerConnection::Close() {
+void ServerConnection::Close(ConnectionEnd end) {
   m_last_request_read = true;
   if (std::exchange(m_closed, true)) return;
+  m_summary.m_end = end;
   beast::error_code ignored;
   m_idle_timer.cancel();
   m_stream.socket().shutdown(tcp::socket::shutdown_both, ignored);
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -23,7 +23,9 @@
   using Handler = std::function<asio::awaitable<void>(std::shared_ptr<HttpExchange>)>;
 
   /// @param settings Must outlive the connection; its limits may change meanwhile.
-  ServerConnection(asio::ip::tcp::socket socket, const HttpServerSettings& settings, const Handler& handler);
+  /// @param number Number of the connection at its server.
+  ServerConnection(asio::ip::tcp::socket socket, const HttpServerSettings& settings, const Handler& handler,
+                   std::uint64_t number);
 
   /// Serves requests until the connection closes.
   asio::awaitable<void> Run();
@@ -38,6 +40,9 @@
   /// Whether Drain was called.
   bool Draining() const { return m_draining; }
 
+  /// What the connection has carried so far and, once it is closed, why.
+  const ConnectionSummary& Summary() const { return m_summary; }
+
  private:
   friend class ServerExchange;
 
@@ -63,7 +68,7 @@
   asio::awaitable<void> RejectRequest(HeaderResult result);
   void NotifyClosed();
   void ArmIdleTimer();
-  void Close();
+  void Close(ConnectionEnd end);
 
   boost::beast::tcp_stream m_stream;
   boost::beast::flat_buffer m_buffer;
@@ -78,6 +83,7 @@
   bool m_closed = false;              ///< Whether the connection is closed.
   bool m_body_reads_stopped = false;  ///< Whether new reads of bodies fail.
   int m_pending_body_reads = 0;       ///< Number of reads of bodies in progress.
+  ConnectionSummary m_summary;
 };
 
 }  // namespace fescueramp
--- a/fescueramp/net/server_exchange.cc
+++ b/fescueramp/net/server_exchange.cc
@@ -99,7 +99,7 @@
   FinishResponse();
 }
 
-void ServerExchange::Abort() { m_connection->Close(); }
+void ServerExchange::Abort() { m_connection->Close(ConnectionEnd::kResponseMissing); }
 
 void ServerExchange::WatchForClose(std::function<void()> handler) {
   if (m_client_closed) return handler();
@@ -127,6 +127,7 @@
 
 void ServerExchange::FinishResponse() {
   m_response_sent = true;
+  ++m_connection->m_summary.m_responses;
   m_closed_handler = nullptr;
   if (!m_keep_alive) m_connection->m_last_request_read = true;
   m_connection->m_changed.Notify();
@@ -144,6 +145,7 @@
   const bool last = m_connection->m_open_exchanges.size() == 1;
   if (last && m_connection->m_draining) m_keep_alive = false;
   response.keep_alive(m_keep_alive);
+  m_close_announced = !m_keep_alive;
 }
 
 }  // namespace fescueramp
--- a/fescueramp/net/server_exchange.h
+++ b/fescueramp/net/server_exchange.h
@@ -20,6 +20,8 @@
   asio::awaitable<void> End() override;
   void Abort() override;
   void WatchForClose(std::function<void()> handler) override;
+  std::uint64_t Connection() const override { return m_connection->Summary().m_connection; }
+  bool AnnouncedClose() const override { return m_close_announced; }
 
   /// Notifies the request's handler that the client has closed its connection.
   void NotifyClosed();
@@ -52,6 +54,7 @@
   RequestHead m_head;
   bool m_expects_continue = false;
   bool m_keep_alive = true;
+  bool m_close_announced = false;
   bool m_response_sent = false;
   bool m_handler_finished = false;
   bool m_client_closed = false;
