Show that requests run behind a response that closes their connection

A request that arrives while a response that announced the close is written or streamed, behind a request that asked for the close, or between the release of that response and its last handler, is accepted and runs. Its response is written behind one after which clients read nothing. Change: two tests. The first has a row for each way to cross; the second sends the request after each number of event-loop handlers of the response. The manual server of the tests waits on a condition instead of polling, so that the number of handlers repeats.

--- a/unit_tests/pipeline_test.cc
+++ b/unit_tests/pipeline_test.cc
@@ -3,6 +3,8 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/read_until.hpp>
 #include <boost/asio/write.hpp>
+#include <boost/test/data/monomorphic.hpp>
+#include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <deque>
 
@@ -13,13 +15,18 @@
 
 using tcp = asio::ip::tcp;
 
-const std::string kEarlyResponse = "/early";  ///< Target whose body is read only after the response.
+const std::string kEarlyResponse = "/early";     ///< Target whose body is read only after the response.
+const std::string kLongResponse = "/long";       ///< Target whose response exceeds the socket's buffers.
+const std::string kStreamedResponse = "/parts";  ///< Target whose response is written in two parts.
+const std::string kSecondPart = "/second-part";  ///< Releases the second part of the streamed response.
+constexpr std::size_t kLongResponseBytes = 16 * 1024 * 1024;
 
 /// Server that responds when the test calls Respond, and one client.
 class ManualServer {
  public:
   ManualServer()
       : m_io(1),
+        m_released(m_io.get_executor()),
         m_server(m_io.get_executor(), {},
                  [this](std::shared_ptr<HttpExchange> exchange) { return Handle(std::move(exchange)); }),
         m_client(m_io) {
@@ -28,17 +35,31 @@
   }
 
   void Send(const std::string& bytes) {
-    asio::write(m_client, asio::buffer(bytes));
+    SendUnnoticed(bytes);
     RunPending();
   }
 
+  /// Sends bytes without running the event loop.
+  void SendUnnoticed(const std::string& bytes) { asio::write(m_client, asio::buffer(bytes)); }
+
   void SendGet(const std::string& target) { Send("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n"); }
 
   void Respond(const std::string& target) {
     m_released_targets.push_back(target);
+    m_released.Notify();
     RunPending();
   }
 
+  /// Releases the response to a target and runs some handlers of the event loop.
+  /// @return Whether there were so many.
+  bool RespondInSteps(const std::string& target, int handlers) {
+    m_released_targets.push_back(target);
+    m_released.Notify();
+    while (handlers > 0 && m_io.poll_one() > 0) --handlers;
+    m_io.restart();
+    return handlers == 0;
+  }
+
   /// Everything that the client has received so far.
   std::string Received() {
     RunPending();
@@ -75,25 +96,35 @@
   }
 
  private:
+  asio::awaitable<void> WaitForRelease(std::string target) {
+    while (std::find(m_released_targets.begin(), m_released_targets.end(), target) ==
+           m_released_targets.end()) {
+      co_await m_released.Wait();
+    }
+  }
+
   asio::awaitable<void> Handle(std::shared_ptr<HttpExchange> exchange) {
     const std::string target = exchange->Head().m_target;
     m_started_targets.push_back(target);
     exchange->WatchForClose([this] { ++m_client_closes; });
     if (target == kEarlyResponse) asio::co_spawn(m_io, ReadLate(exchange), asio::detached);
-    while (std::find(m_released_targets.begin(), m_released_targets.end(), target) ==
-           m_released_targets.end()) {
-      co_await Sleep(std::chrono::milliseconds(1));
-    }
+    co_await WaitForRelease(target);
     std::vector<HeaderField> none;
-    co_await exchange->Send(200, std::move(none), "body of " + target);
+    std::string body = "body of " + target;
+    if (target == kStreamedResponse) {
+      co_await exchange->Begin(200, std::move(none), -1);
+      co_await exchange->Write(std::move(body));
+      co_await WaitForRelease(kSecondPart);
+      co_await exchange->End();
+      co_return;
+    }
+    if (target == kLongResponse) body.resize(kLongResponseBytes, '.');
+    co_await exchange->Send(200, std::move(none), std::move(body));
   }
 
   /// Reads a request body after the response has been sent.
   asio::awaitable<void> ReadLate(std::shared_ptr<HttpExchange> exchange) {
-    while (std::find(m_released_targets.begin(), m_released_targets.end(), kEarlyResponse) ==
-           m_released_targets.end()) {
-      co_await Sleep(std::chrono::milliseconds(1));
-    }
+    co_await WaitForRelease(kEarlyResponse);
     co_await Sleep(std::chrono::milliseconds(5));
     try {
       co_await exchange->ReadBody();
@@ -105,6 +136,7 @@
   asio::io_context m_io;
   std::vector<std::string> m_started_targets;
   std::vector<std::string> m_released_targets;
+  AsyncCondition m_released;
   int m_client_closes = 0;
   bool m_body_read_failed = false;
   HttpServer m_server;
@@ -174,6 +206,83 @@
   BOOST_TEST(server.StartedTargets().size() == 2U);
 }
 
+/// A request that arrives around the response that closes its connection.
+struct CrossingRequest {
+  const char* m_name;
+  bool m_draining;             ///< Whether the server drains before the response.
+  std::string m_first;         ///< First request.
+  std::string m_first_target;  ///< Target of the first request.
+  std::string m_before;        ///< Bytes sent before the first response is released.
+  std::string m_after;         ///< Bytes sent after that, before the client reads.
+};
+
+std::ostream& operator<<(std::ostream& out, const CrossingRequest& row) { return out << row.m_name; }
+
+std::string Get(const std::string& target) { return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n"; }
+
+const CrossingRequest kCrossingRequests[] = {
+    {"the head comes in two parts", true, Get("/1"), "/1", "GET /2 HTTP/1.1\r\n", "Host: a\r\n\r\n"},
+    {"while the response is written", true, Get(kLongResponse), kLongResponse, "", Get("/2")},
+    {"while the response is streamed", true, Get(kStreamedResponse), kStreamedResponse, "", Get("/2")},
+    {"behind a request that closes", false, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n", "/1",
+     Get("/2"), ""},
+    {"behind a request of HTTP/1.0", false, "GET /1 HTTP/1.0\r\nHost: a\r\n\r\n", "/1", Get("/2"), ""},
+    {"after the response", true, Get("/1"), "/1", "", Get("/2")},
+};
+
+/// Checks that each request that was started has its response, and that the last response alone says that it
+/// closes the connection. Clients read nothing behind such a response.
+void CheckResponsesUpToTheClose(ManualServer& server) {
+  while (!server.Closed()) server.RunPending();
+  const std::string received = server.Received();
+  std::size_t responses = 0;
+  std::size_t last_response = 0;
+  for (std::size_t at = received.find("HTTP/1.1 200"); at != std::string::npos;
+       at = received.find("HTTP/1.1 200", at + 1)) {
+    ++responses;
+    last_response = at;
+  }
+  BOOST_TEST(responses == server.StartedTargets().size());
+  const std::size_t close = received.find("Connection: close");
+  BOOST_REQUIRE(close != std::string::npos);
+  BOOST_TEST(close > last_response);
+}
+
+BOOST_DATA_TEST_CASE(NoRequestRunsBehindAResponseThatClosesItsConnection,
+                     boost::unit_test::data::make(kCrossingRequests), row) {
+  ManualServer server;
+  server.Send(row.m_first);
+  if (row.m_draining) server.Server().Drain();
+  server.Send(row.m_before);
+  server.Respond(row.m_first_target);
+  server.Send(row.m_after);
+  server.Respond("/2");
+  server.Respond(kSecondPart);
+  CheckResponsesUpToTheClose(server);
+}
+
+/// Parts of a request; the first arrives at any step of the response that closes the connection.
+const std::vector<std::string> kSplitRequests[] = {{Get("/2")}, {"GET /2 HTTP/1.1\r\n", "Host: a\r\n\r\n"}};
+
+BOOST_DATA_TEST_CASE(NoRequestRunsBehindACloseAtAnyStepOfTheResponse, boost::unit_test::data::make({0, 1}),
+                     row) {
+  bool more_steps = true;
+  for (int step = 0; more_steps; ++step) {
+    BOOST_TEST_CONTEXT("step " << step) {
+      ManualServer server;
+      server.SendGet("/1");
+      server.Server().Drain();
+      more_steps = server.RespondInSteps("/1", step);
+      for (const std::string& part : kSplitRequests[row]) {
+        server.SendUnnoticed(part);
+        server.RunPending();
+      }
+      server.Respond("/2");
+      CheckResponsesUpToTheClose(server);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(BodyIsNotReadAfterEarlyResponse) {
   // Concurrent reads of the stream by the connection and by the reader of the body aborted the process. The
   // soak test on a busy machine hit this.
