Notice callers that leave after the last request of their connection was read

Cause: the connection reads to notice that its client closes it. After the last request of a draining connection nothing read any more, so a caller that left during a stop kept its endpoint at work until the response was ready. Change: until the last response is written, what the client sends is read and dropped, up to 256 KiB, and its close is reported to the requests in progress.

--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -13,8 +13,10 @@
 namespace http = beast::http;
 using tcp = asio::ip::tcp;
 
-constexpr std::size_t kMaxPipelined = 32;        ///< Pending requests per connection.
-constexpr std::size_t kLingerChunkBytes = 4096;  ///< Size of one read of discarded data.
+constexpr std::size_t kMaxPipelined = 32;         ///< Pending requests per connection.
+constexpr std::size_t kDiscardChunkBytes = 4096;  ///< Size of one read of discarded data.
+/// Bytes behind the last request after which a client that sends without end is held by TCP's flow control.
+constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
 /// Time for the client to close first; closing with unread data would reset the connection.
 constexpr auto kLingerTimeout = std::chrono::milliseconds(500);
 constexpr std::int64_t kBadRequest = 400;
@@ -73,12 +75,29 @@
     if (exchange && !exchange->BodyRead()) break;
     while (m_open_exchanges.size() >= kMaxPipelined && !m_closed) co_await m_changed.Wait();
   }
-  while (!m_open_exchanges.empty() && !m_closed) co_await m_changed.Wait();
+  co_await DiscardUntilResponded();
   co_await StopBodyReads();
   if (!m_closed) co_await Linger();
   Close(m_last_request_read ? ConnectionEnd::kLastResponse : ConnectionEnd::kClientClosed);
 }
 
+asio::awaitable<void> ServerConnection::DiscardUntilResponded() {
+  std::array<char, kDiscardChunkBytes> discarded{};
+  boost::system::error_code ec;
+  while (!m_open_exchanges.empty() && !m_closed) {
+    const bool reading_allowed =
+        m_open_exchanges.back()->BodyRead() && m_summary.m_discarded_bytes < kMaxDiscardedBytes;
+    if (ec || !reading_allowed) {
+      co_await m_changed.Wait();
+      continue;
+    }
+    m_summary.m_discarded_bytes += co_await m_stream.socket().async_read_some(
+        asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ec));
+    const bool client_left = ec && ec != asio::error::operation_aborted;
+    if (client_left) NotifyClosed();
+  }
+}
+
 asio::awaitable<void> ServerConnection::StopBodyReads() {
   m_body_reads_stopped = true;
   while (m_pending_body_reads > 0 && !m_closed) {
@@ -90,7 +109,7 @@
 asio::awaitable<void> ServerConnection::Linger() {
   beast::error_code ec;
   m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
-  std::array<char, kLingerChunkBytes> discarded{};
+  std::array<char, kDiscardChunkBytes> discarded{};
   m_stream.expires_after(kLingerTimeout);
   m_summary.m_discarded_bytes += m_buffer.size();
   while (!ec && !m_closed) {
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -60,6 +60,10 @@
   asio::awaitable<bool> AcceptRequest();
   asio::awaitable<void> Serve(std::shared_ptr<ServerExchange> exchange);
 
+  /// Waits for the open responses after the last request was read. Discards what the client sends, and
+  /// notifies the handlers when it closes the connection.
+  asio::awaitable<void> DiscardUntilResponded();
+
   /// Cancels reads of bodies whose responses are sent, since the stream allows one read at a time.
   asio::awaitable<void> StopBodyReads();
 
--- a/unit_tests/pipeline_test.cc
+++ b/unit_tests/pipeline_test.cc
@@ -176,6 +176,33 @@
   BOOST_TEST(server.ClientCloses() == 2);
 }
 
+/// A connection whose last request has been read.
+struct LastRequest {
+  const char* m_name;
+  bool m_draining;        ///< Whether the server drains before the request.
+  std::string m_request;  ///< Last request, perhaps with bytes behind it.
+};
+
+std::ostream& operator<<(std::ostream& out, const LastRequest& row) { return out << row.m_name; }
+
+const LastRequest kLastRequests[] = {
+    {"of a draining connection", true, "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"of a draining connection, with another behind it", true,
+     "GET /1 HTTP/1.1\r\nHost: a\r\n\r\nGET /2 HTTP/1.1\r\nHost: a\r\n\r\n"},
+    {"that closes", false, "GET /1 HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"},
+};
+
+BOOST_DATA_TEST_CASE(ClientCloseBehindTheLastRequestIsReported, boost::unit_test::data::make(kLastRequests),
+                     row) {
+  ManualServer server;
+  if (row.m_draining) server.Server().Drain();
+  server.Send(row.m_request);
+  BOOST_TEST(server.StartedTargets().size() == 1U);
+  BOOST_TEST(server.ClientCloses() == 0);
+  server.CloseClient();
+  BOOST_TEST(server.ClientCloses() == 1);
+}
+
 BOOST_AUTO_TEST_CASE(DrainingConnectionClosesAfterLastResponse) {
   ManualServer server;
   server.SendGet("/1");
