Stop reading before a response announces the close

What callers saw: around SIGTERM, a request that they sent before they had the response to the one before it ran, and their connection ended without a response to it. The response before it had said "Connection: close". Cause: the response announced the close if no other request was open at that moment, but the connection accepted requests until that response was written whole. A request read in between ran, and its response followed one behind which clients read nothing. The same held behind a request that asked for the close. Where a head was half read, cancelling the read had no effect between two reads, so that the rest was accepted later. Change: one function decides whether a response is the last, and accepts no further request from that moment on. If part of a request has arrived by then, the connection stays open for it, as for one that was accepted, so its caller is served instead of sent away. Why it works: the announcement and the end of accepting are one step of one thread, with no wait in between, so no request can be accepted behind the announcement.

--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -65,9 +65,6 @@
   while (!m_last_request_read && !m_closed) {
     if (!co_await WaitForRequest()) break;
     if (!co_await AcceptRequest()) break;
-    // A client that always has pending requests would otherwise never get a last response. Requests behind
-    // this one stay unread, so the client may retry them.
-    if (m_draining) m_last_request_read = true;
     // The next request starts where the body of this one ends.
     const auto exchange = m_open_exchanges.empty() ? nullptr : m_open_exchanges.back();
     while (exchange && !exchange->BodyRead() && !exchange->HandlerFinished() && !m_closed)
@@ -161,8 +158,8 @@
   m_reading_header = true;
   const HeaderResult result = co_await ReadHeader(parser);
   m_reading_header = false;
-  // The connection closed while the head was read.
-  if (m_closed) co_return false;
+  // The connection closed, or its last response was announced, while the head was read.
+  if (m_closed || m_last_request_read) co_return false;
   if (!result.m_problem.empty()) {
     co_await RejectRequest(result);
     co_return false;
@@ -174,6 +171,9 @@
   const auto exchange = std::make_shared<ServerExchange>(shared_from_this(), parser);
   m_open_exchanges.push_back(exchange);
   ++m_summary.m_requests;
+  // A client that always has pending requests would otherwise never get a last response. Requests behind
+  // this one stay unread, so the client may retry them.
+  if (m_draining || !exchange->KeepAlive()) m_last_request_read = true;
   asio::co_spawn(m_stream.get_executor(), Serve(exchange), asio::detached);
   co_return true;
 }
@@ -218,10 +218,20 @@
 
 void ServerConnection::Drain() { m_draining = true; }
 
-void ServerConnection::CloseIdle() {
+bool ServerConnection::PrepareResponse(bool keep_alive) {
+  const bool more_requests = m_open_exchanges.size() > 1 || (!m_last_request_read && BytesPending());
+  if (m_draining && !more_requests) keep_alive = false;
+  if (!keep_alive) m_last_request_read = true;
+  return keep_alive;
+}
+
+bool ServerConnection::BytesPending() {
   beast::error_code ec;
-  const bool request_pending = m_reading_header || m_buffer.size() > 0 || m_stream.socket().available(ec) > 0;
-  if (m_open_exchanges.empty() && !request_pending) Close(ConnectionEnd::kIdle);
+  return m_reading_header || m_buffer.size() > 0 || m_stream.socket().available(ec) > 0;
+}
+
+void ServerConnection::CloseIdle() {
+  if (m_open_exchanges.empty() && !BytesPending()) Close(ConnectionEnd::kIdle);
 }
 
 void ServerConnection::Close(ConnectionEnd end) {
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -60,6 +60,15 @@
   asio::awaitable<bool> AcceptRequest();
   asio::awaitable<void> Serve(std::shared_ptr<ServerExchange> exchange);
 
+  /// Decides whether the connection stays open after the response that is about to be sent. If not, no
+  /// further request is accepted from now on: clients read nothing behind a response that announces the
+  /// close.
+  /// @param keep_alive Whether the exchange allows the connection to stay open.
+  bool PrepareResponse(bool keep_alive);
+
+  /// Whether part of a request has arrived that is not accepted yet.
+  bool BytesPending();
+
   /// Waits for the open responses after the last request was read. Discards what the client sends, and
   /// notifies the handlers when it closes the connection.
   asio::awaitable<void> DiscardUntilResponded();
@@ -82,7 +91,7 @@
   AsyncCondition m_changed;
   asio::steady_timer m_idle_timer;
   bool m_draining = false;
-  bool m_last_request_read = false;   ///< Whether no further request will be read.
+  bool m_last_request_read = false;   ///< Whether no further request will be accepted.
   bool m_reading_header = false;      ///< Whether a request head is being read.
   bool m_closed = false;              ///< Whether the connection is closed.
   bool m_body_reads_stopped = false;  ///< Whether new reads of bodies fail.
--- a/fescueramp/net/server_exchange.cc
+++ b/fescueramp/net/server_exchange.cc
@@ -129,7 +129,6 @@
   m_response_sent = true;
   ++m_connection->m_summary.m_responses;
   m_closed_handler = nullptr;
-  if (!m_keep_alive) m_connection->m_last_request_read = true;
   m_connection->m_changed.Notify();
 }
 
@@ -140,10 +139,7 @@
   response.result(static_cast<unsigned>(status));
   for (const auto& header : headers) response.insert(header.m_name, header.m_value);
   // Unread body data would be parsed as the next request.
-  m_keep_alive = m_keep_alive && m_parser->is_done();
-  // Pipelined requests behind this one have been accepted, so the connection stays open for their responses.
-  const bool last = m_connection->m_open_exchanges.size() == 1;
-  if (last && m_connection->m_draining) m_keep_alive = false;
+  m_keep_alive = m_connection->PrepareResponse(m_keep_alive && m_parser->is_done());
   response.keep_alive(m_keep_alive);
   m_close_announced = !m_keep_alive;
 }
--- a/fescueramp/net/server_exchange.h
+++ b/fescueramp/net/server_exchange.h
@@ -29,6 +29,9 @@
   /// Whether the request body has been read completely.
   bool BodyRead() const { return m_parser->is_done(); }
 
+  /// Whether the request, and the response once it has begun, let the connection stay open.
+  bool KeepAlive() const { return m_keep_alive; }
+
   /// Whether the handler has returned.
   bool HandlerFinished() const { return m_handler_finished; }
 
