Measure requests that cross the end of their connection

No scenario of bench/ has callers that send a request when the response to the one before is due. Change: scenario `crossing`: six nodes, 12 endpoints, 40 callers of each kind, phases with SIGTERM, SIGHUP, new configurations and without events. A request that ran and got no response is lost (target 0); the nodes' logs and what the caller received say by which hypothesis of the incident. Scenario `leaving_callers`: when work is cancelled after its caller has closed the connection.

--- a/bench/scenarios.py
+++ b/bench/scenarios.py
@@ -5,6 +5,7 @@
 import shutil
 import sys
 
+import crossing_scenarios  # noqa: F401, registers its scenarios
 import fleet_scenarios  # noqa: F401, registers its scenarios
 import policy_scenarios  # noqa: F401, registers its scenarios
 import soak  # noqa: F401, registers its scenario
