Trace requests lost to stalls of the machine and to resets of late readers

Change: `crossing` records how long the machine kept each node waiting for a processor or the disk, and names responses that broke off after a node waited longer than links do (600 ms). Scenario `late_readers`: a stopping node has written a response to the socket, its caller reads it late and sends a request behind it at a set time.

--- a/bench/crossing_scenarios.py
+++ b/bench/crossing_scenarios.py
@@ -16,6 +16,7 @@
 
 NODES = 6
 CALLERS = 40  # Of each kind.
+LINK_TIMEOUT_MS = 600  # Time after which a node gives up a link to another that does not respond.
 # What happens to the nodes while callers send: kinds of callers, and share of the time.
 PHASES = {
     "sigterm": (sorted(KINDS), 0.64),
@@ -114,19 +115,40 @@
 
 
 class StallProbe(threading.Thread):
-    """Measures the longest delay of a short sleep, s, which shows whether the machine stalled processes."""
+    """Measures how long the machine kept the nodes' processes waiting at once for a processor (`run`) or for the disk
+    (`disk`), ms. Nodes that stall lose their links, so that requests which they run for others end."""
 
-    PERIOD_S = 0.02
+    PERIOD_S = 0.05
 
-    def __init__(self):
+    def __init__(self, fleet):
         super().__init__(daemon=True)
-        self.longest_s, self.stop_requested = 0.0, threading.Event()
+        self.fleet, self.stop_requested = fleet, threading.Event()
+        self.longest_ms = {"run": 0, "disk": 0}
+        self.stalls = []
 
     def run(self):
+        run_waits, disk_since = {}, {}
         while not self.stop_requested.is_set():
-            before = time.monotonic()
+            now = time.time()
+            for index in range(self.fleet.count):
+                pid = self.fleet.processes[self.fleet.node_name(index)].pid
+                try:
+                    run_wait = int(open("/proc/%d/schedstat" % pid).read().split()[1]) / 1e6
+                    state = open("/proc/%d/stat" % pid).read().rsplit(")", 1)[1].split()[0]
+                except (OSError, IndexError):
+                    continue
+                self.add("run", index, now, run_wait - run_waits.get(pid, run_wait))
+                run_waits[pid] = run_wait
+                if state == "D":
+                    self.add("disk", index, now, (now - disk_since.setdefault(pid, now)) * 1000)
+                else:
+                    disk_since.pop(pid, None)
             time.sleep(self.PERIOD_S)
-            self.longest_s = max(self.longest_s, time.monotonic() - before - self.PERIOD_S)
+
+    def add(self, what, index, now, wait_ms):
+        self.longest_ms[what] = max(self.longest_ms[what], round(wait_ms))
+        if wait_ms > 200:
+            self.stalls.append((now, self.fleet.node_name(index), what, round(wait_ms)))
 
 
 def read_node_logs(fleet):
@@ -148,7 +170,9 @@
 class NodeLogs:
     """The nodes' lines of each request and of each connection."""
 
-    def __init__(self, lines):
+    def __init__(self, lines, stalls):
+        """`stalls` are those of StallProbe."""
+        self.stalls = stalls
         self.of_request, self.of_connection = collections.defaultdict(list), collections.defaultdict(list)
         self.stops = [line for line in lines if line["event"] in ("stopping", "stopped")]
         self.dropped = sum(line.get("lines_dropped_before", 0) for line in lines)
@@ -163,6 +187,11 @@
         return any(line["event"] == "stopped" and line["node"] in nodes and
                    abs(line["time_us"] / 1e6 - at_s) < within_s for line in self.stops)
 
+    def stalled_before(self, nodes, at_s):
+        """Whether the machine kept one of the nodes waiting for long enough to lose its links, up to 2 s before."""
+        return any(node in nodes and at_s - 2 < ended_s < at_s + 0.2 and wait_ms > LINK_TIMEOUT_MS
+                   for ended_s, node, _, wait_ms in self.stalls)
+
     def related(self, record, lines, shared):
         """Returns the lines to print of a lost request, in order of time."""
         since, until = record["sent_s"] - 1, record["ended_s"] + 0.5
@@ -191,6 +220,8 @@
         dispatchers.add(last["dispatcher"])
         if behind_close or any(line["closes_connection"] for line in earlier):
             return "1 behind a close", related
+        if (broken or last["result"] != "OK") and self.stalled_before(dispatchers | {entry}, last["time_us"] / 1e6):
+            return "broken off, a node waited for a processor", related
         if broken and record["head_s"] is None:
             return "behind a response that broke off", related
         if broken or last["result"] != "OK":
@@ -198,8 +229,8 @@
             return ("2 end of the dispatcher" if stopped else "broken off, no dispatcher ended"), related
         if self.stopped_around([entry], record["ended_s"], 0.2):
             return "4 end of the process", related
-        if last["closes_connection"] and record["end"] == "ConnectionResetError":
-            return "4 written, then reset", related
+        if record["end"] == "ConnectionResetError":
+            return "4 written, then reset" + ("" if last["closes_connection"] else ", idle"), related
         return "unexplained", related
 
 
@@ -285,7 +316,7 @@
     names = os.environ.get("FESCUE_KINDS")
     kinds = [kind for kind in kinds if not names or kind in names.split(",")]
     ports = [fleet.caller_port(i) for i in range(fleet.count)]
-    until, problems, workers, paths, probe = time.time() + seconds, [], [], [], StallProbe()
+    until, problems, workers, paths, probe = time.time() + seconds, [], [], [], StallProbe(fleet)
     for kind in kinds:
         paths.append(os.path.join(fleet.work_dir, "records-%s-%s.jsonl" % (phase, kind)))
         workers.append(multiprocessing.get_context("fork").Process(
@@ -307,11 +338,11 @@
     probe.stop_requested.set()
     time.sleep(0.3)  # The nodes write their logs in batches.
     since = (until - seconds) * 1000
-    logs = NodeLogs([line for line in read_node_logs(fleet) if line["time_us"] / 1000 >= since])
+    logs = NodeLogs([line for line in read_node_logs(fleet) if line["time_us"] / 1000 >= since], probe.stalls)
     runs = [run for pool in fleet.pools for run in fleet.read_runs(pool)
             if run["what"] == "started" and run["t_ms"] >= since]
     return {"events": count, "problems": problems, "log_lines_dropped": logs.dropped,
-            "longest_stall_ms": round(probe.longest_s * 1000),
+            "longest_node_waits_ms": probe.longest_ms,
             "kinds": judge(phase, records, runs, logs)}
 
 
@@ -398,3 +429,79 @@
             result[name] = [leave_once(fleet, name, trial) for trial in range(trials)]
             print(json.dumps({name: result[name]}), flush=True)
     return result
+
+
+# Callers that read late: work of the first request, and times in s after it was sent: SIGTERM to the node, another
+# request (None: none), begin of reading. Last, the node's leave_notice_ms.
+LATE_READERS = {
+    "nothing behind": (100, 0.05, None, 1.2, 300),
+    "sent before the port closes": (100, 0.05, 0.25, 1.2, 300),
+    "sent after the port closes": (100, 0.05, 0.45, 1.2, 300),
+    "idle, nothing behind": (100, 0.3, None, 1.2, 300),
+    "idle, sent after the port closes": (100, 0.3, 0.8, 1.2, 300),
+    "port open, sent 0.3 s after the response": (100, 0.05, 0.4, 1.2, 3000),
+    "port open, sent 0.7 s after the response": (100, 0.05, 0.8, 1.2, 3000),
+}
+LATE_BYTES = 500_000
+
+
+def read_late(fleet, name, trial):
+    """Plays one row of LATE_READERS. Returns how many bytes of the first response the caller got, and how it ended."""
+    work_ms, terminate_at, send_at, read_at, _ = LATE_READERS[name]
+    handle = socket.socket()
+    handle.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, 32 * 1024)
+    handle.settimeout(10)
+    handle.connect(("127.0.0.1", fleet.caller_port(0)))
+    start, process = time.time(), fleet.processes[fleet.node_name(0)]
+    text = "GET /p/read/late-%d-%d-%%d HTTP/1.1\r\nHost: late\r\nWork-Ms: %d\r\nAnswer-Bytes: %d\r\n\r\n" % (
+        sorted(LATE_READERS).index(name), trial, work_ms, LATE_BYTES)
+    handle.sendall((text % 0).encode())
+    for at, what in sorted([(terminate_at, "terminate")] + ([(send_at, "send")] if send_at is not None else [])):
+        time.sleep(max(0, start + at - time.time()))
+        if what == "terminate":
+            process.terminate()
+            continue
+        try:
+            handle.sendall((text % 1).encode())
+        except OSError:
+            pass
+    time.sleep(max(0, start + read_at - time.time()))
+    data, end = b"", "closed"
+    try:
+        while True:
+            piece = handle.recv(65536)
+            if not piece:
+                break
+            data += piece
+    except OSError as error:
+        end = type(error).__name__
+    handle.close()
+    process.wait(timeout=70)
+    head, _, body = data.partition(b"\r\n\r\n")
+    ran = sorted({run["target"][-1] for run in fleet.read_runs(fleet.pools[0])
+                  if run["what"] == "started" and run["target"].startswith(text.split()[1][:-2])})
+    return {"got": min(len(body), LATE_BYTES), "whole": len(body) >= LATE_BYTES, "end": end,
+            "close_announced": b"connection: close" in head.lower(), "ran": len(ran)}
+
+
+@scenario
+def late_readers():
+    """Responses that a stopping node has written to the socket and its caller, which reads late, does not get whole."""
+    result, trials = {"target_lost": 0, "lost": 0}, int(os.environ.get("FESCUE_TRIALS", "2"))
+    pool = Pool("p", 4, 10, 24000)
+    with run_fleet("late-readers", "fair", None, [pool], nodes=2) as fleet:
+        start_published(fleet, crossing_objects([pool]))
+        for name, row in LATE_READERS.items():
+            result[name] = []
+            for trial in range(trials):
+                fleet.processes[fleet.node_name(0)].terminate()
+                fleet.processes[fleet.node_name(0)].wait(timeout=70)
+                fleet.start_node(0, leave_notice_ms=row[4])
+                wait_ready(fleet, 0)
+                fleet.wait_members()
+                result[name].append(read_late(fleet, name, trial))
+                result["lost"] += not result[name][-1]["whole"]
+                fleet.start_node(0)
+                wait_ready(fleet, 0)
+            print(json.dumps({name: result[name]}), flush=True)
+    return result
