--- a/bench/crossing_scenarios.py
+++ b/bench/crossing_scenarios.py
@@ -16,7 +16,8 @@
 
 NODES = 6
 CALLERS = 40  # Of each kind.
-LINK_TIMEOUT_MS = 600  # Time after which a node gives up a link to another that does not respond.
+# Nodes give a link up 600 ms after they last received something, and wait 250 ms of these before they ask for it.
+LINK_STALL_MS = 350
 # What happens to the nodes while callers send: kinds of callers, and share of the time.
 PHASES = {
     "sigterm": (sorted(KINDS), 0.64),
@@ -182,14 +183,14 @@
             if "connection" in line:
                 self.of_connection[(line["node"], line["life"], line["connection"])].append(line)
 
-    def stopped_around(self, nodes, at_s, within_s):
-        """Whether one of the nodes logged the end of its process within some time of `at_s`."""
+    def stopped_before(self, nodes, at_s, within_s):
+        """Whether one of the nodes logged the end of its process up to some time before `at_s`."""
         return any(line["event"] == "stopped" and line["node"] in nodes and
-                   abs(line["time_us"] / 1e6 - at_s) < within_s for line in self.stops)
+                   -0.01 < at_s - line["time_us"] / 1e6 < within_s for line in self.stops)
 
     def stalled_before(self, nodes, at_s):
         """Whether the machine kept one of the nodes waiting for long enough to lose its links, up to 2 s before."""
-        return any(node in nodes and at_s - 2 < ended_s < at_s + 0.2 and wait_ms > LINK_TIMEOUT_MS
+        return any(node in nodes and at_s - 2 < ended_s < at_s + 0.2 and wait_ms > LINK_STALL_MS
                    for ended_s, node, _, wait_ms in self.stalls)
 
     def related(self, record, lines, shared):
@@ -208,7 +209,7 @@
         if not ended:
             if behind_close:
                 return "1 behind a close", self.related(record, lines, [])
-            end_of_process = self.stopped_around([entry], record["ended_s"], 0.2)
+            end_of_process = self.stopped_before([entry], record["ended_s"], 0.2)
             return ("4 end of the process" if end_of_process else "no request_ended"), self.related(record, lines, [])
         last = ended[-1]
         shared = self.of_connection[(last["node"], last["life"], last["connection"])]
@@ -220,14 +221,18 @@
         dispatchers.add(last["dispatcher"])
         if behind_close or any(line["closes_connection"] for line in earlier):
             return "1 behind a close", related
-        if (broken or last["result"] != "OK") and self.stalled_before(dispatchers | {entry}, last["time_us"] / 1e6):
+        broke_off = broken or last["result"] != "OK"
+        last_s = last["time_us"] / 1e6
+        taken_s = last_s - record["sent_s"]
+        if broke_off and record["head_s"] and self.stopped_before(dispatchers - {entry}, last_s, taken_s):
+            return "2 end of the dispatcher", related
+        if broke_off and self.stalled_before(dispatchers | {entry}, last_s):
             return "broken off, a node waited for a processor", related
         if broken and record["head_s"] is None:
             return "behind a response that broke off", related
-        if broken or last["result"] != "OK":
-            stopped = self.stopped_around(dispatchers - {entry}, last["time_us"] / 1e6, 0.2)
-            return ("2 end of the dispatcher" if stopped else "broken off, no dispatcher ended"), related
-        if self.stopped_around([entry], record["ended_s"], 0.2):
+        if broke_off:
+            return "broken off, no dispatcher ended", related
+        if self.stopped_before([entry], record["ended_s"], 0.2):
             return "4 end of the process", related
         if record["end"] == "ConnectionResetError":
             return "4 written, then reset" + ("" if last["closes_connection"] else ", idle"), related
@@ -310,8 +315,17 @@
     return result
 
 
+def check_stand_ins(fleet):
+    """Raises an error if an endpoint process has ended, as when another run has its port and answers in its place."""
+    ended = [name for name, process in fleet.processes.items()
+             if name.startswith("pool-") and process.poll() is not None]
+    if ended:
+        raise RuntimeError("%s ended; choose another FESCUE_PORT_SHIFT if other runs use the ports" % ", ".join(ended))
+
+
 def run_phase(fleet, phase, seconds, seed):
     """Runs the callers of one phase while its events happen, and returns its row of the result."""
+    check_stand_ins(fleet)
     kinds, _ = PHASES[phase]
     names = os.environ.get("FESCUE_KINDS")
     kinds = [kind for kind in kinds if not names or kind in names.split(",")]
@@ -505,3 +519,59 @@
                 wait_ready(fleet, 0)
             print(json.dumps({name: result[name]}), flush=True)
     return result
+
+
+# Bytes of responses that wait at their entry host behind another of the same connection while their dispatcher ends.
+WAITING_BYTES = (100_000, 400_000, 600_000, 700_000, 1_500_000)
+
+
+def wait_behind(fleet, services, bytes_of_second, trial):
+    """Sends two requests on one connection to node 0; node 1 dispatches the second and gets SIGTERM while its response
+    waits for the first one's. Returns how much of the second response arrived."""
+    targets = ["/%s/read/first-%d-%d" % (services[0], bytes_of_second, trial),
+               "/%s/read/second-%d-%d" % (services[1], bytes_of_second, trial)]
+    handle = socket.create_connection(("127.0.0.1", fleet.caller_port(0)), timeout=10)
+    line = "GET %s HTTP/1.1\r\nHost: waiting\r\nWork-Ms: %d\r\nAnswer-Bytes: %d\r\n%s\r\n"
+    handle.sendall((line % (targets[0], 1800, 10, "")).encode())
+    handle.sendall((line % (targets[1], 200, bytes_of_second, "Connection: close\r\n")).encode())
+    time.sleep(0.1)
+    process = fleet.processes[fleet.node_name(1)]
+    process.terminate()
+    start, data = time.time(), b""
+    process.wait(timeout=70)
+    dispatcher_s = time.time() - start
+    try:
+        while True:
+            piece = handle.recv(65536)
+            if not piece:
+                break
+            data += piece
+    except OSError:
+        pass
+    handle.close()
+    fleet.start_node(1)
+    wait_ready(fleet, 1)
+    fleet.wait_members()
+    # The bodies consist of x; the first one has 10 bytes.
+    got = max(0, data.count(b"x") - 10)
+    return {"heads": data.count(b"HTTP/1.1 200"), "got": got, "whole": got >= bytes_of_second,
+            "dispatcher_ended_s": round(dispatcher_s, 2)}
+
+
+@scenario
+def waiting_responses():
+    """Responses that are broken off because their dispatcher ended while they waited at the entry host, by size."""
+    result, trials = {"target_lost": 0, "lost": 0}, int(os.environ.get("FESCUE_TRIALS", "2"))
+    pools = [Pool("p%d" % i, 2, 10, 24000 + i * 100) for i in range(8)]
+    with run_fleet("waiting", "fair", None, pools, nodes=2) as fleet:
+        start_published(fleet, crossing_objects(pools))
+        time.sleep(1)
+        for size in WAITING_BYTES:
+            result[size] = []
+            for trial in range(trials):
+                owners = {pool.name: fleet.owner(pool.name) for pool in pools}
+                services = [min(name for name, owner in owners.items() if owner == node) for node in ("n0", "n1")]
+                result[size].append(wait_behind(fleet, services, size, trial))
+                result["lost"] += not result[size][-1]["whole"]
+            print(json.dumps({size: result[size]}), flush=True)
+    return result
