Serve the connections that wait when a port closes

Seen: a caller that connected just before the port of a stopping host closed, and had sent its request, got a reset instead of a response. Cause: HttpServer::Stop closed the acceptor, and the system resets all connections that it has established and the process hasn't accepted yet. Change: Stop accepts all connections that wait, without waiting for more, before it closes the port; they drain like the others. A connection counts as open as soon as it is accepted, so that the end of the process can't come before its first handler. Left: a handshake that ends between the last accept and the close of the port.

--- a/fescueramp/net/http_server.cc
+++ b/fescueramp/net/http_server.cc
@@ -51,11 +51,23 @@
 HttpServer::~HttpServer() { Stop(); }
 
 void HttpServer::Stop() {
-  m_state->m_stopping = true;
+  if (std::exchange(m_state->m_stopping, true)) return;
+  AcceptWaiting(m_state);
   boost::system::error_code ec;
   m_state->m_acceptor.close(ec);
 }
 
+void HttpServer::AcceptWaiting(const std::shared_ptr<State>& state) {
+  boost::system::error_code ec;
+  state->m_acceptor.non_blocking(true, ec);
+  // Without this option, accept waits when a client has given up its connection.
+  state->m_acceptor.set_option(asio::socket_base::enable_connection_aborted(true), ec);
+  while (!ec || ec == asio::error::connection_aborted) {
+    tcp::socket socket = state->m_acceptor.accept(ec);
+    if (!ec) Open(state, std::move(socket));
+  }
+}
+
 void HttpServer::Drain() {
   m_state->m_draining = true;
   for (const auto& connection : m_state->m_connections) connection->Drain();
@@ -75,7 +87,6 @@
 std::size_t HttpServer::Connections() const { return m_state->m_connections.size(); }
 
 asio::awaitable<void> HttpServer::AcceptLoop(std::shared_ptr<State> state) {
-  const auto executor = co_await asio::this_coro::executor;
   while (!state->m_stopping) {
     boost::system::error_code ec;
     tcp::socket socket =
@@ -86,16 +97,22 @@
       co_await Sleep(kAcceptRetryDelay);
       continue;
     }
-    if (state->m_connections.size() >= state->m_settings.m_max_connections) continue;
-    asio::co_spawn(executor, Serve(state, std::move(socket)), asio::detached);
+    Open(state, std::move(socket));
   }
 }
 
-asio::awaitable<void> HttpServer::Serve(std::shared_ptr<State> state, tcp::socket socket) {
+void HttpServer::Open(const std::shared_ptr<State>& state, tcp::socket socket) {
+  if (state->m_connections.size() >= state->m_settings.m_max_connections) return;
+  const auto executor = socket.get_executor();
   const auto connection = std::make_shared<ServerConnection>(std::move(socket), state->m_settings,
                                                              state->m_handler, ++state->m_last_connection);
   if (state->m_draining) connection->Drain();
   state->m_connections.insert(connection);
+  asio::co_spawn(executor, Serve(state, connection), asio::detached);
+}
+
+asio::awaitable<void> HttpServer::Serve(std::shared_ptr<State> state,
+                                        std::shared_ptr<ServerConnection> connection) {
   co_await connection->Run();
   state->m_connections.erase(connection);
   if (state->m_settings.m_connection_ended) state->m_settings.m_connection_ended(connection->Summary());
--- a/fescueramp/net/http_server.h
+++ b/fescueramp/net/http_server.h
@@ -13,6 +13,8 @@
 
 namespace fescueramp {
 
+class ServerConnection;
+
 /// One HTTP request of a client and its response.
 class HttpExchange {
  public:
@@ -93,7 +95,8 @@
   /// Changes the limits; open connections use the new ones too.
   void SetLimits(const HttpServerLimits& limits);
 
-  /// Stops accepting connections; open ones continue.
+  /// Accepts the connections that clients have established so far, then closes the port; open connections
+  /// continue.
   void Stop();
 
   /// TCP port that the server listens on.
@@ -105,7 +108,12 @@
  private:
   struct State;
   static asio::awaitable<void> AcceptLoop(std::shared_ptr<State> state);
-  static asio::awaitable<void> Serve(std::shared_ptr<State> state, asio::ip::tcp::socket socket);
+
+  /// Accepts all connections that wait at the port, since closing it would reset them.
+  static void AcceptWaiting(const std::shared_ptr<State>& state);
+  static void Open(const std::shared_ptr<State>& state, asio::ip::tcp::socket socket);
+  static asio::awaitable<void> Serve(std::shared_ptr<State> state,
+                                     std::shared_ptr<ServerConnection> connection);
 
   std::shared_ptr<State> m_state;
 };
