Close connections only when their clients have got the responses

Seen: a caller that reads slowly and sends a further request behind lost the rest of a response that was written, or whole responses: 500 ms after the last response, when an idle connection was closed (also at the close of the port), and at the end of the process, which came 3 s after the node was done although a client was still reading. Cause: connections and the process ended when a response was written, not when it was delivered. Change: a connection lingers until the client closes, has had everything for 500 ms, or takes nothing for the time that a write may take. The system tells how much of what was sent isn't acknowledged. An idle connection closes in the same way, and one that closes already isn't taken for idle. The process waits for lingering connections and waiting requests until the grace time is over. The 3 s hold for other connections. Not tested: a client whose host is gone.

--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -363,10 +363,11 @@
 
 asio::awaitable<void> NodeDaemon::StopWhenIdle() {
   // Callers that send a request are asked to close their connection. Idle ones are awaited for a short time
-  // only.
+  // only; those that still read a response are awaited until the grace time is over.
   const Instant idle_wait_end = m_clock.Now() + kMaxIdleConnectionWait;
   while (!m_caller_port_closed || m_entry->RequestsInProgress() > 0 || m_dispatch->RequestsInProgress() > 0 ||
-         (m_caller_server->Connections() > 0 && m_clock.Now() < idle_wait_end)) {
+         (m_caller_server->Connections() > 0 && m_clock.Now() < idle_wait_end) ||
+         m_caller_server->Unfinished()) {
     co_await Sleep(kTickPeriod);
   }
   m_log.WriteUnthrottled("stopped", {{"reason", "all requests have ended"}});
--- a/fescueramp/net/http_server.cc
+++ b/fescueramp/net/http_server.cc
@@ -86,6 +86,11 @@
 
 std::size_t HttpServer::Connections() const { return m_state->m_connections.size(); }
 
+bool HttpServer::Unfinished() const {
+  return std::any_of(m_state->m_connections.begin(), m_state->m_connections.end(),
+                     [](const auto& connection) { return connection->Unfinished(); });
+}
+
 asio::awaitable<void> HttpServer::AcceptLoop(std::shared_ptr<State> state) {
   while (!state->m_stopping) {
     boost::system::error_code ec;
--- a/fescueramp/net/http_server.h
+++ b/fescueramp/net/http_server.h
@@ -105,6 +105,9 @@
   /// Number of open connections.
   std::size_t Connections() const;
 
+  /// Whether a connection has a pending request or a response that its client may not have got yet.
+  bool Unfinished() const;
+
  private:
   struct State;
   static asio::awaitable<void> AcceptLoop(std::shared_ptr<State> state);
--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -1,5 +1,9 @@
 #include "fescueramp/net/server_connection.h"
 
+#include <linux/sockios.h>
+#include <sys/ioctl.h>
+
+#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
@@ -17,8 +21,9 @@
 constexpr std::size_t kDiscardChunkBytes = 4096;  ///< Size of one read of discarded data.
 /// Bytes behind the last request after which a client that sends without end is held by TCP's flow control.
 constexpr std::size_t kMaxDiscardedBytes = 256 * 1024;
-/// Time for the client to close first; closing with unread data would reset the connection.
+/// Time for the client to close first, once it has got the last response.
 constexpr auto kLingerTimeout = std::chrono::milliseconds(500);
+constexpr auto kDeliveryCheckPeriod = std::chrono::milliseconds(50);
 constexpr std::int64_t kBadRequest = 400;
 constexpr std::int64_t kHeaderTooLarge = 431;
 
@@ -74,8 +79,10 @@
   }
   co_await DiscardUntilResponded();
   co_await StopBodyReads();
+  ConnectionEnd end = m_last_request_read ? ConnectionEnd::kLastResponse : ConnectionEnd::kClientClosed;
+  if (m_closing_idle) end = ConnectionEnd::kIdle;
   if (!m_closed) co_await Linger();
-  Close(m_last_request_read ? ConnectionEnd::kLastResponse : ConnectionEnd::kClientClosed);
+  Close(end);
 }
 
 asio::awaitable<void> ServerConnection::DiscardUntilResponded() {
@@ -104,10 +111,12 @@
 }
 
 asio::awaitable<void> ServerConnection::Linger() {
+  m_lingering = true;
   beast::error_code ec;
   m_stream.socket().shutdown(tcp::socket::shutdown_send, ec);
   std::array<char, kDiscardChunkBytes> discarded{};
-  m_stream.expires_after(kLingerTimeout);
+  m_stream.expires_never();
+  asio::co_spawn(m_stream.get_executor(), LimitLinger(), asio::detached);
   m_summary.m_discarded_bytes += m_buffer.size();
   while (!ec && !m_closed) {
     m_summary.m_discarded_bytes += co_await m_stream.async_read_some(
@@ -115,6 +124,35 @@
   }
 }
 
+asio::awaitable<void> ServerConnection::LimitLinger() {
+  const auto self = shared_from_this();
+  std::size_t undelivered = UndeliveredBytes();
+  std::chrono::milliseconds without_progress{0};
+  while (!m_closed) {
+    // A client that still gets the response has as long for each part as while the response was written.
+    const std::chrono::milliseconds limit = undelivered > 0 ? m_settings.m_body_timeout : kLingerTimeout;
+    if (without_progress >= limit) break;
+    co_await Sleep(kDeliveryCheckPeriod);
+    const bool progress = std::exchange(undelivered, UndeliveredBytes()) != undelivered;
+    without_progress = progress ? std::chrono::milliseconds(0) : without_progress + kDeliveryCheckPeriod;
+  }
+  if (!m_closed) m_stream.cancel();
+}
+
+std::size_t ServerConnection::UndeliveredBytes() {
+  int bytes = 0;
+  if (m_closed || ::ioctl(m_stream.socket().native_handle(), SIOCOUTQ, &bytes) != 0) return 0;
+  // The end of sending counts as one byte.
+  if (m_lingering) --bytes;
+  return static_cast<std::size_t>(std::max(bytes, 0));
+}
+
+bool ServerConnection::Unfinished() {
+  if (m_closed) return false;
+  const bool request_waits = !m_last_request_read && !m_reading_header && BytesPending();
+  return !m_open_exchanges.empty() || m_lingering || request_waits || UndeliveredBytes() > 0;
+}
+
 asio::awaitable<bool> ServerConnection::WaitForRequest() {
   if (m_buffer.size() > 0) co_return true;
   ArmIdleTimer();
@@ -231,7 +269,11 @@
 }
 
 void ServerConnection::CloseIdle() {
-  if (m_open_exchanges.empty() && !BytesPending()) Close(ConnectionEnd::kIdle);
+  const bool ending = m_closed || m_last_request_read || m_lingering;
+  if (ending || !m_open_exchanges.empty() || BytesPending()) return;
+  m_closing_idle = true;
+  m_last_request_read = true;
+  m_stream.cancel();
 }
 
 void ServerConnection::Close(ConnectionEnd end) {
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -34,9 +34,13 @@
   /// "Connection: close".
   void Drain();
 
-  /// Closes the connection if it has no pending request.
+  /// Closes the connection if it has no pending request. Responses that the client is still reading arrive.
   void CloseIdle();
 
+  /// Whether a request is pending, or the client may not have got a response yet. A head that has been read
+  /// in part only doesn't count.
+  bool Unfinished();
+
   /// Whether Drain was called.
   bool Draining() const { return m_draining; }
 
@@ -76,8 +80,15 @@
   /// Cancels reads of bodies whose responses are sent, since the stream allows one read at a time.
   asio::awaitable<void> StopBodyReads();
 
-  /// Shuts down sending and waits briefly for the client to close, so that it gets the complete response.
+  /// Shuts down sending and discards what arrives until the client closes: closing with unread data, or
+  /// before more data arrives, resets the connection, which drops what the client hasn't got yet.
   asio::awaitable<void> Linger();
+
+  /// Ends Linger when the client stops reading the response, or has it and doesn't close.
+  asio::awaitable<void> LimitLinger();
+
+  /// Number of bytes sent that the client's system hasn't acknowledged.
+  std::size_t UndeliveredBytes();
   asio::awaitable<void> RejectRequest(HeaderResult result);
   void NotifyClosed();
   void ArmIdleTimer();
@@ -93,6 +104,8 @@
   bool m_draining = false;
   bool m_last_request_read = false;   ///< Whether no further request will be accepted.
   bool m_reading_header = false;      ///< Whether a request head is being read.
+  bool m_closing_idle = false;        ///< Whether the connection closes because it was idle.
+  bool m_lingering = false;           ///< Whether all responses are written and the client is to close.
   bool m_closed = false;              ///< Whether the connection is closed.
   bool m_body_reads_stopped = false;  ///< Whether new reads of bodies fail.
   int m_pending_body_reads = 0;       ///< Number of reads of bodies in progress.
--- a/unit_tests/server_stop_test.cc
+++ b/unit_tests/server_stop_test.cc
@@ -14,8 +14,13 @@
 
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
 constexpr const char* kResponseBody = "served";
+const std::string kLongRequest = "GET /long HTTP/1.1\r\nHost: a\r\n\r\n";
+constexpr std::size_t kLongBodyBytes = 300'000;  ///< Fits the server's send buffer, not a slow client's.
+constexpr int kSlowClientBufferBytes = 4096;
+/// Longer than the server waits for a client that has the last response.
+constexpr std::chrono::milliseconds kPause{700};
 
-/// Server that responds at once, and its clients. The event loop runs only in RunPending.
+/// Server that responds at once, and its clients. The event loop runs only in the functions that say so.
 class StoppedServer {
  public:
   StoppedServer()
@@ -23,14 +28,19 @@
           return Handle(std::move(exchange));
         }) {}
 
-  /// Connects a client and sends a request, both unnoticed by the server.
-  void ConnectAndRequest() {
+  /// Connects a client and sends bytes, both unnoticed by the server.
+  void ConnectAndSend(const std::string& bytes) {
     tcp::socket& client = m_clients.emplace_back(m_io);
+    client.open(tcp::v4());
+    client.set_option(asio::socket_base::receive_buffer_size(kSlowClientBufferBytes));
     client.connect({asio::ip::address_v4::loopback(), m_server.Port()});
-    asio::write(client, asio::buffer(kRequest));
     client.non_blocking(true);
+    Send(bytes);
   }
 
+  /// Sends bytes from the last client, unnoticed by the server.
+  void Send(const std::string& bytes) { asio::write(m_clients.back(), asio::buffer(bytes)); }
+
   /// Does what a node does when its port closes.
   void Stop() {
     m_server.Drain();
@@ -38,10 +48,15 @@
     m_server.CloseIdle();
   }
 
+  /// Runs the event loop for a time.
+  void Run(std::chrono::milliseconds span) {
+    m_io.run_for(span);
+    m_io.restart();
+  }
+
   /// Runs the event loop for about 20 ms.
   void RunPending() {
-    for (int i = 0; i < 20; ++i) m_io.run_for(std::chrono::milliseconds(1));
-    m_io.restart();
+    for (int i = 0; i < 20; ++i) Run(std::chrono::milliseconds(1));
   }
 
   /// What a client has received so far.
@@ -52,12 +67,30 @@
     return received;
   }
 
+  /// Reads to the end of the last client's connection, while the event loop runs.
+  /// @return What it received before the end, whether orderly or not.
+  std::string ReceivedToTheEnd() {
+    std::string all;
+    boost::system::error_code ec;
+    while (!ec || ec == asio::error::would_block) {
+      std::string part(kSlowClientBufferBytes, '\0');
+      part.resize(m_clients.back().read_some(asio::buffer(part), ec));
+      all += part;
+      if (ec == asio::error::would_block) Run(std::chrono::milliseconds(1));
+    }
+    return all;
+  }
+
+  void CloseClient() { m_clients.back().close(); }
+
   HttpServer& Server() { return m_server; }
 
  private:
   static asio::awaitable<void> Handle(std::shared_ptr<HttpExchange> exchange) {
     std::vector<HeaderField> none;
-    co_await exchange->Send(200, std::move(none), kResponseBody);
+    std::string body = kResponseBody;
+    if (exchange->Head().m_target == "/long") body.resize(kLongBodyBytes, '.');
+    co_await exchange->Send(200, std::move(none), std::move(body));
   }
 
   asio::io_context m_io;
@@ -81,13 +114,36 @@
     {"several", true, 20},
 };
 
+/// What happens between the writing of a long response and its reading by the client.
+struct SlowReader {
+  const char* m_name;
+  bool m_drained;                     ///< Whether the response announces the close.
+  std::string m_behind;               ///< Bytes sent behind the request.
+  std::chrono::milliseconds m_pause;  ///< Pause before the server stops.
+  bool m_stopped;                     ///< Whether the server stops.
+  std::string m_late;                 ///< Bytes sent before the client reads.
+};
+
+std::ostream& operator<<(std::ostream& out, const SlowReader& row) { return out << row.m_name; }
+
+const SlowReader kSlowReaders[] = {
+    {"nothing further", true, "", kPause, false, ""},
+    {"a request behind", true, kRequest, kPause, false, ""},
+    {"a request after a pause", true, "", kPause, false, kRequest},
+    {"requests behind and after a pause", true, kRequest, kPause, false, kRequest},
+    {"the port closes, a request behind", true, kRequest, {}, true, ""},
+    {"the port closes, then a request", true, "", {}, true, kRequest},
+    {"closed as idle, then a request", false, "", {}, true, kRequest},
+    {"closed as idle, a pause, then a request", false, "", kPause, true, kRequest},
+};
+
 BOOST_AUTO_TEST_SUITE(server_stop)
 
 BOOST_DATA_TEST_CASE(RequestsOnConnectionsThatWaitToBeAcceptedAreServed,
                      boost::unit_test::data::make(kWaitingConnections), row) {
   StoppedServer server;
   if (row.m_accepting) server.RunPending();
-  for (std::size_t i = 0; i < row.m_count; ++i) server.ConnectAndRequest();
+  for (std::size_t i = 0; i < row.m_count; ++i) server.ConnectAndSend(kRequest);
   server.Stop();
   // Else the process could end before it has read the requests.
   BOOST_TEST(server.Server().Connections() == row.m_count);
@@ -99,6 +155,39 @@
   }
 }
 
+BOOST_DATA_TEST_CASE(WrittenResponseArrivesWholeAtASlowReader, boost::unit_test::data::make(kSlowReaders),
+                     row) {
+  StoppedServer server;
+  if (row.m_drained) server.Server().Drain();
+  server.ConnectAndSend(kLongRequest + row.m_behind);
+  server.RunPending();
+  server.Run(row.m_pause);
+  if (row.m_stopped) server.Stop();
+  server.RunPending();
+  server.Send(row.m_late);
+  server.RunPending();
+  const std::string received = server.ReceivedToTheEnd();
+  const auto body = received.find("\r\n\r\n");
+  BOOST_REQUIRE(body != std::string::npos);
+  BOOST_TEST(received.size() - body - 4 == kLongBodyBytes);
+}
+
+BOOST_AUTO_TEST_CASE(ServerIsUnfinishedUntilASlowReaderHasTheResponse) {
+  // A process that ends before leaves the delivery to the system, which drops it when a request arrives.
+  StoppedServer server;
+  server.Server().Drain();
+  server.ConnectAndSend(kLongRequest);
+  server.RunPending();
+  server.Stop();
+  server.RunPending();
+  BOOST_TEST(server.Server().Unfinished());
+  server.ReceivedToTheEnd();
+  server.CloseClient();
+  server.RunPending();
+  BOOST_TEST(!server.Server().Unfinished());
+  BOOST_TEST(server.Server().Connections() == 0U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
