Keep earlier requests running when a later one on their connection fails

Seen: a caller that sends requests behind others lost responses to accepted requests when a later request came in part only, had a malformed chunk, or was given up: the connection closed at once, the running requests were cancelled, and none got a response. Cause: a timeout of the stream closes the whole connection; a failed read of a head told all open requests that their client had left; and a request that ended without a response closed the connection before the responses to earlier requests were due. Change: a read of a head or body has a deadline that cancels this read only. Then no further request is accepted, and the connection ends at the turn of the response that is missing; a head that was read in part is dropped, and the response before it announces the close. A response that has begun is still cut at once. Why it works: the stream closes by itself only when a write takes too long, that is, when the client doesn't take the response.

--- a/fescueramp/net/http_server.h
+++ b/fescueramp/net/http_server.h
@@ -41,7 +41,8 @@
   /// Ends the response body.
   virtual asio::awaitable<void> End() = 0;
 
-  /// Closes the connection at once, so that the client can tell a truncated response from a complete one.
+  /// Closes the connection, so that the client can tell a truncated response from a complete one: at once if
+  /// the response has begun, else when the handler has ended and the responses to earlier requests are sent.
   virtual void Abort() = 0;
 
   /// Sets a handler that is called once when the client closes its connection before the response has ended.
--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -8,6 +8,7 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
+#include "fescueramp/net/read_deadline.h"
 #include "fescueramp/net/server_exchange.h"
 
 namespace fescueramp {
@@ -81,6 +82,7 @@
   co_await StopBodyReads();
   ConnectionEnd end = m_last_request_read ? ConnectionEnd::kLastResponse : ConnectionEnd::kClientClosed;
   if (m_closing_idle) end = ConnectionEnd::kIdle;
+  if (m_response_missing) end = ConnectionEnd::kResponseMissing;
   if (!m_closed) co_await Linger();
   Close(end);
 }
@@ -175,10 +177,10 @@
 asio::awaitable<ServerConnection::HeaderResult> ServerConnection::ReadHeader(std::shared_ptr<Parser> parser) {
   parser->header_limit(m_settings.m_max_header_bytes);
   parser->body_limit(boost::none);
-  m_stream.expires_after(m_settings.m_header_timeout);
+  m_stream.expires_never();
+  ReadDeadline deadline(m_stream.get_executor(), m_settings.m_header_timeout);
   HeaderResult result;
-  co_await http::async_read_header(m_stream, m_buffer, *parser,
-                                   asio::redirect_error(asio::use_awaitable, result.m_error));
+  co_await http::async_read_header(m_stream, m_buffer, *parser, deadline.Token(result.m_error));
   const beast::error_code& ec = result.m_error;
   const bool malformed = ec && ec.category() == make_error_code(http::error::bad_method).category() &&
                          ec != http::error::end_of_stream && ec != http::error::partial_message;
@@ -196,7 +198,9 @@
   m_reading_header = true;
   const HeaderResult result = co_await ReadHeader(parser);
   m_reading_header = false;
-  // The connection closed, or its last response was announced, while the head was read.
+  // Responses to earlier requests are still due when the head has taken too long.
+  if (result.m_error == asio::error::operation_aborted) m_last_request_read = true;
+  // The connection closed, or no further request is accepted.
   if (m_closed || m_last_request_read) co_return false;
   if (!result.m_problem.empty()) {
     co_await RejectRequest(result);
@@ -223,8 +227,7 @@
     // The client has disconnected and the handler has already cleaned up.
   }
   exchange->SetHandlerFinished();
-  // Without a response to this request, the client would match the following responses to wrong requests.
-  if (!exchange->ResponseSent()) Close(ConnectionEnd::kResponseMissing);
+  if (!exchange->ResponseSent()) co_await EndAtMissingResponse(exchange);
   std::erase(m_open_exchanges, exchange);
   // No further request is read, so cancel the wait for one.
   if (m_last_request_read && m_open_exchanges.empty() && !m_closed) m_stream.cancel();
@@ -232,6 +235,14 @@
   m_changed.Notify();
 }
 
+asio::awaitable<void> ServerConnection::EndAtMissingResponse(std::shared_ptr<ServerExchange> exchange) {
+  m_last_request_read = true;
+  m_changed.Notify();
+  while (!m_closed && m_open_exchanges.front() != exchange) co_await m_changed.Wait();
+  m_response_missing = true;
+  NotifyClosed();
+}
+
 asio::awaitable<void> ServerConnection::RejectRequest(HeaderResult result) {
   while (!m_open_exchanges.empty() && !m_closed) co_await m_changed.Wait();
   if (m_closed) co_return;
@@ -258,7 +269,7 @@
 
 bool ServerConnection::PrepareResponse(bool keep_alive) {
   const bool more_requests = m_open_exchanges.size() > 1 || (!m_last_request_read && BytesPending());
-  if (m_draining && !more_requests) keep_alive = false;
+  if ((m_draining || m_last_request_read) && !more_requests) keep_alive = false;
   if (!keep_alive) m_last_request_read = true;
   return keep_alive;
 }
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -77,6 +77,10 @@
   /// notifies the handlers when it closes the connection.
   asio::awaitable<void> DiscardUntilResponded();
 
+  /// Ends the connection after the responses to the requests before one that gets none: the client would
+  /// match the following responses to wrong requests.
+  asio::awaitable<void> EndAtMissingResponse(std::shared_ptr<ServerExchange> exchange);
+
   /// Cancels reads of bodies whose responses are sent, since the stream allows one read at a time.
   asio::awaitable<void> StopBodyReads();
 
@@ -106,6 +110,7 @@
   bool m_reading_header = false;      ///< Whether a request head is being read.
   bool m_closing_idle = false;        ///< Whether the connection closes because it was idle.
   bool m_lingering = false;           ///< Whether all responses are written and the client is to close.
+  bool m_response_missing = false;    ///< Whether it is the turn of a response that isn't sent.
   bool m_closed = false;              ///< Whether the connection is closed.
   bool m_body_reads_stopped = false;  ///< Whether new reads of bodies fail.
   int m_pending_body_reads = 0;       ///< Number of reads of bodies in progress.
--- a/fescueramp/net/server_exchange.cc
+++ b/fescueramp/net/server_exchange.cc
@@ -1,5 +1,7 @@
 #include "fescueramp/net/server_exchange.h"
 
+#include "fescueramp/net/read_deadline.h"
+
 namespace fescueramp {
 namespace {
 
@@ -35,11 +37,11 @@
     m_parser->get().body().data = chunk.data();
     m_parser->get().body().size = chunk.size();
     if (m_connection->m_body_reads_stopped) throw beast::system_error(asio::error::operation_aborted);
-    m_connection->m_stream.expires_after(m_connection->m_settings.m_body_timeout);
+    m_connection->m_stream.expires_never();
+    ReadDeadline deadline(m_connection->m_stream.get_executor(), m_connection->m_settings.m_body_timeout);
     beast::error_code ec;
     ++m_connection->m_pending_body_reads;
-    co_await http::async_read(m_connection->m_stream, m_connection->m_buffer, *m_parser,
-                              asio::redirect_error(asio::use_awaitable, ec));
+    co_await http::async_read(m_connection->m_stream, m_connection->m_buffer, *m_parser, deadline.Token(ec));
     if (--m_connection->m_pending_body_reads == 0) m_connection->m_changed.Notify();
     if (ec == http::error::need_buffer) ec = {};
     if (ec) throw beast::system_error(ec);
@@ -51,10 +53,11 @@
 }
 
 asio::awaitable<void> ServerExchange::WaitForTurn() {
-  while (!m_connection->m_closed && m_connection->m_open_exchanges.front().get() != this) {
+  const auto ended = [this] { return m_connection->m_closed || m_connection->m_response_missing; };
+  while (!ended() && m_connection->m_open_exchanges.front().get() != this) {
     co_await m_connection->m_changed.Wait();
   }
-  if (m_connection->m_closed) throw beast::system_error(asio::error::connection_reset);
+  if (ended()) throw beast::system_error(asio::error::connection_reset);
 }
 
 asio::awaitable<void> ServerExchange::Send(std::int64_t status, std::vector<HeaderField> headers,
@@ -99,7 +102,10 @@
   FinishResponse();
 }
 
-void ServerExchange::Abort() { m_connection->Close(ConnectionEnd::kResponseMissing); }
+void ServerExchange::Abort() {
+  // If the response has not begun, responses to earlier requests may be due.
+  if (m_response_begun) m_connection->Close(ConnectionEnd::kResponseMissing);
+}
 
 void ServerExchange::WatchForClose(std::function<void()> handler) {
   if (m_client_closed) return handler();
@@ -135,6 +141,7 @@
 template <typename Response>
 void ServerExchange::SetHead(Response& response, std::int64_t status,
                              const std::vector<HeaderField>& headers) {
+  m_response_begun = true;
   response.version(11);
   response.result(static_cast<unsigned>(status));
   for (const auto& header : headers) response.insert(header.m_name, header.m_value);
--- a/fescueramp/net/server_exchange.h
+++ b/fescueramp/net/server_exchange.h
@@ -58,6 +58,7 @@
   bool m_expects_continue = false;
   bool m_keep_alive = true;
   bool m_close_announced = false;
+  bool m_response_begun = false;
   bool m_response_sent = false;
   bool m_handler_finished = false;
   bool m_client_closed = false;
