Show that overlapping stops and new limits end no request

Two causes that were looked for and not found: an idle timeout, new limits or a stop that meets a request of which a part has arrived, and a second SIGTERM, SIGINT or SIGHUP during a stop. All 10 rows of the first and the 3 new rows of the second pass.

--- a/unit_tests/node_stop_test.cc
+++ b/unit_tests/node_stop_test.cc
@@ -3,12 +3,14 @@
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
+#include <csignal>
 
 #include "fescueramp/daemon/node_daemon.h"
 
 namespace fescueramp {
 namespace {
 
+using std::chrono::milliseconds;
 using tcp = asio::ip::tcp;
 
 const std::string kRequest = "GET / HTTP/1.1\r\nHost: a\r\n\r\n";
@@ -44,7 +46,7 @@
   }
 
   /// Runs the node for a time. When it has ended, its sockets close like those of a process that has ended.
-  void Run(std::chrono::milliseconds span) {
+  void Run(milliseconds span) {
     if (!m_io) return;
     m_io->run_for(span);
     if (!m_io->stopped()) return;
@@ -73,7 +75,7 @@
       std::string part(kClientBufferBytes, '\0');
       part.resize(m_client.read_some(asio::buffer(part), ec));
       all += part;
-      Run(std::chrono::milliseconds(1));
+      Run(milliseconds(1));
     }
     return all;
   }
@@ -95,22 +97,39 @@
   return responses;
 }
 
-/// How long a client doesn't read when its node stops.
-const int kPausesMs[] = {0, 3500};
+/// What happens while a node stops and a client doesn't read.
+struct StopOfANode {
+  const char* m_name;
+  milliseconds m_pause;        ///< How long the client doesn't read.
+  std::vector<int> m_signals;  ///< Signals to the node.
+};
+
+std::ostream& operator<<(std::ostream& out, const StopOfANode& row) { return out << row.m_name; }
+
+const StopOfANode kStops[] = {
+    {"short pause", milliseconds(200), {}},
+    {"long pause", milliseconds(3700), {}},
+    {"stopped again", milliseconds(200), {SIGTERM, SIGINT, SIGTERM}},
+    {"settings read again", milliseconds(200), {SIGHUP}},
+    {"stopped and settings read again", milliseconds(3700), {SIGTERM, SIGHUP, SIGTERM}},
+};
 
 BOOST_AUTO_TEST_SUITE(node_stop)
 
-BOOST_DATA_TEST_CASE(NodeEndsOnlyWhenASlowReaderHasItsResponses, boost::unit_test::data::make(kPausesMs),
-                     pause_ms) {
+BOOST_DATA_TEST_CASE(NodeEndsOnlyWhenASlowReaderHasItsResponses, boost::unit_test::data::make(kStops), row) {
   StoppingNode node;
   std::string requests;
   for (int i = 0; i < kRequests; ++i) requests += kRequest;
   node.Send(requests);
   node.RunReady();
   node.Shutdown();
-  node.Run(std::chrono::milliseconds(200 + pause_ms));
+  for (const int signal : row.m_signals) {
+    std::raise(signal);
+    node.Run(milliseconds(1));
+  }
+  node.Run(row.m_pause);
   node.Send(kRequest);
-  node.Run(std::chrono::milliseconds(20));
+  node.Run(milliseconds(20));
   BOOST_TEST(CountResponses(node.ReceivedToTheEnd()) == kRequests);
 }
 
--- a/unit_tests/server_stop_test.cc
+++ b/unit_tests/server_stop_test.cc
@@ -89,6 +89,7 @@
   static asio::awaitable<void> Handle(std::shared_ptr<HttpExchange> exchange) {
     std::vector<HeaderField> none;
     std::string body = kResponseBody;
+    co_await ReadWholeBody(*exchange);
     if (exchange->Head().m_target == "/long") body.resize(kLongBodyBytes, '.');
     co_await exchange->Send(200, std::move(none), std::move(body));
   }
@@ -137,6 +138,37 @@
     {"closed as idle, a pause, then a request", false, "", kPause, true, kRequest},
 };
 
+/// What may close an idle connection.
+enum class IdleClose { kStop, kIdleTimeout, kNewLimits };
+
+/// A request of which a part has arrived when an idle connection would be closed.
+struct PendingRequest {
+  const char* m_name;
+  IdleClose m_close;
+  bool m_noticed;       ///< Whether the server has read the first part.
+  std::string m_first;  ///< First part of the request.
+  std::string m_rest;   ///< Rest of the request.
+};
+
+std::ostream& operator<<(std::ostream& out, const PendingRequest& row) { return out << row.m_name; }
+
+const std::string kHalfHead = "GET / HTTP/1.1\r\nHo";
+const std::string kRestOfHead = "st: a\r\n\r\n";
+const std::string kHalfBody = "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 6\r\n\r\nabc";
+
+const PendingRequest kPendingRequests[] = {
+    {"stop, unread request", IdleClose::kStop, false, kRequest, ""},
+    {"stop, unread half of a head", IdleClose::kStop, false, kHalfHead, kRestOfHead},
+    {"stop, half of a head", IdleClose::kStop, true, kHalfHead, kRestOfHead},
+    {"stop, half of a body", IdleClose::kStop, true, kHalfBody, "def"},
+    {"idle timeout, unread request", IdleClose::kIdleTimeout, false, kRequest, ""},
+    {"idle timeout, half of a head", IdleClose::kIdleTimeout, false, kHalfHead, kRestOfHead},
+    {"idle timeout, half of a body", IdleClose::kIdleTimeout, false, kHalfBody, "def"},
+    {"new limits, unread request", IdleClose::kNewLimits, false, kRequest, ""},
+    {"new limits, half of a head", IdleClose::kNewLimits, true, kHalfHead, kRestOfHead},
+    {"new limits, half of a body", IdleClose::kNewLimits, true, kHalfBody, "def"},
+};
+
 BOOST_AUTO_TEST_SUITE(server_stop)
 
 BOOST_DATA_TEST_CASE(RequestsOnConnectionsThatWaitToBeAcceptedAreServed,
@@ -172,6 +204,21 @@
   BOOST_TEST(received.size() - body - 4 == kLongBodyBytes);
 }
 
+BOOST_DATA_TEST_CASE(ConnectionThatReadsARequestIsNotClosedAsIdle,
+                     boost::unit_test::data::make(kPendingRequests), row) {
+  StoppedServer server;
+  HttpServerLimits short_limits;
+  short_limits.m_idle_timeout = std::chrono::milliseconds(1);
+  if (row.m_close == IdleClose::kIdleTimeout) server.Server().SetLimits(short_limits);
+  server.ConnectAndSend(row.m_first);
+  if (row.m_noticed) server.RunPending();
+  if (row.m_close == IdleClose::kNewLimits) server.Server().SetLimits(short_limits);
+  if (row.m_close == IdleClose::kStop) server.Stop();
+  server.RunPending();
+  server.Send(row.m_rest);
+  BOOST_TEST(server.ReceivedToTheEnd().find(kResponseBody) != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(ServerIsUnfinishedUntilASlowReaderHasTheResponse) {
   // A process that ends before leaves the delivery to the system, which drops it when a request arrives.
   StoppedServer server;
