Keep a request in progress until its response is written to the link

Callers would see a response that breaks off, or none, around the SIGTERM of a node that dispatches for other entry hosts. A stopping node ends its process when no request is in progress (StopWhenIdle). The dispatcher's handler counted a request as ended when the response was in the buffer of the link's stream. From there it still had to pass the flow-control window of the entry host, which opens only as fast as the caller reads, and the link's write loop. What was left at io.stop() was dropped; the entry host saw a lost link after the head of the response and closed the caller's connection. Responses that hand a request back were dropped in the same way.

DispatchHandler::Handle now waits until the link's socket has taken the end of the stream, or the stream has ended early, before it counts the request as ended. The wait ends with the link, with a reset by the entry host, and at the latest with the node's grace time.

--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -71,6 +71,8 @@
   } catch (const std::exception&) {
     // The node that forwarded the request is gone; the stream's broken handler has posted DispatchCancelled.
   }
+  // A node that stops ends once no request is in progress, and would drop what is not written by then.
+  co_await stream->WaitWritten();
   m_calls.erase(id);
 }
 
--- a/fescueramp/daemon/dispatch_handler.h
+++ b/fescueramp/daemon/dispatch_handler.h
@@ -19,7 +19,7 @@
  public:
   explicit DispatchHandler(HandlerContext context) : m_context(std::move(context)) {}
 
-  /// Serves the request on one stream; returns when the stream is finished or reset.
+  /// Serves the request on one stream; returns when the response is written or the stream has ended early.
   asio::awaitable<void> Handle(std::shared_ptr<LinkStream> stream);
 
   /// Carries out an effect of the reducer; ignored when its request has ended.
--- a/fescueramp/net/link.cc
+++ b/fescueramp/net/link.cc
@@ -115,6 +115,10 @@
   m_link->Flush();
 }
 
+asio::awaitable<void> LinkStream::WaitWritten() {
+  while (m_local_finished && !m_write_ended && !m_broken) co_await m_writable.Wait();
+}
+
 void LinkStream::Reset() {
   if (m_broken || m_closed) return;
   m_broken_handler = nullptr;
@@ -206,10 +210,18 @@
     boost::system::error_code ec;
     co_await asio::async_write(m_socket, asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
     if (ec) break;
+    EndWrites();
   }
   Close();
 }
 
+void Link::EndWrites() {
+  for (const auto& stream : std::exchange(m_ending_streams, {})) {
+    stream->m_write_ended = true;
+    stream->m_writable.Notify();
+  }
+}
+
 asio::awaitable<void> Link::LivenessLoop() {
   const auto self = shared_from_this();
   while (!m_closed) {
@@ -262,6 +274,7 @@
   m_socket.close(ec);
   m_write_requested.Notify();
   m_stream_opened.Notify();
+  EndWrites();
   const auto streams = std::exchange(m_streams, {});
   for (const auto& [id, stream] : streams) {
     // Streams can outlive the link, so they must not refer to it.
@@ -270,6 +283,7 @@
     stream->m_closed = true;
     stream->m_peer_unresponsive = m_peer_unresponsive;
     stream->m_link = nullptr;
+    stream->m_write_ended = true;
     if (!complete) stream->Break();
   }
 }
@@ -359,6 +373,7 @@
   const auto stream = found->second;
   link->m_streams.erase(found);
   stream->m_closed = true;
+  stream->m_write_ended = stream->m_write_ended || !stream->m_end_queued;
   if (error != NGHTTP2_NO_ERROR || !stream->m_remote_finished) stream->Break();
   stream->m_readable.Notify();
   stream->m_writable.Notify();
@@ -367,7 +382,8 @@
 
 ssize_t Link::ReadSendBuffer(nghttp2_session*, std::int32_t id, std::uint8_t* buffer, std::size_t size,
                              std::uint32_t* flags, nghttp2_data_source*, void* self) {
-  auto* stream = static_cast<Link*>(self)->FindStream(id);
+  auto* link = static_cast<Link*>(self);
+  auto* stream = link->FindStream(id);
   if (!stream) return NGHTTP2_ERR_TEMPORAL_CALLBACK_FAILURE;
   const std::size_t left = stream->m_send_buffer.size() - stream->m_send_offset;
   if (left == 0 && !stream->m_local_finished) {
@@ -377,7 +393,11 @@
   const std::size_t count = std::min(left, size);
   std::memcpy(buffer, stream->m_send_buffer.data() + stream->m_send_offset, count);
   stream->m_send_offset += count;
-  if (count == left && stream->m_local_finished) *flags |= NGHTTP2_DATA_FLAG_EOF;
+  if (count == left && stream->m_local_finished) {
+    *flags |= NGHTTP2_DATA_FLAG_EOF;
+    stream->m_end_queued = true;
+    link->m_ending_streams.push_back(link->m_streams.at(id));
+  }
   stream->m_writable.Notify();
   return static_cast<ssize_t>(count);
 }
--- a/fescueramp/net/link.h
+++ b/fescueramp/net/link.h
@@ -63,6 +63,10 @@
   /// Ends the data of this side.
   void Finish();
 
+  /// Waits until the connection has taken all data of this side, if this side has finished, or until the
+  /// stream has ended early.
+  asio::awaitable<void> WaitWritten();
+
   /// Cancels the stream without calling the broken handler.
   void Reset();
 
@@ -94,7 +98,9 @@
   std::string m_send_buffer;
   std::size_t m_send_offset = 0;
   bool m_local_finished = false;
-  bool m_deferred = false;  ///< Whether nghttp2 waits for more data to send.
+  bool m_deferred = false;     ///< Whether nghttp2 waits for more data to send.
+  bool m_end_queued = false;   ///< Whether the end of this side's data is being written.
+  bool m_write_ended = false;  ///< Whether nothing of this side is left to be written.
   bool m_broken = false;
   bool m_peer_unresponsive = false;
   bool m_keep_open = false;  ///< Whether it stays open while the peer is unresponsive.
@@ -142,6 +148,7 @@
   asio::awaitable<void> LivenessLoop();
   void Flush() { m_write_requested.Notify(); }
   LinkStream* FindStream(std::int32_t id);
+  void EndWrites();
   nghttp2_data_provider MakeDataProvider();
 
   static int OnBeginHeaders(nghttp2_session*, const nghttp2_frame* frame, void* self);
@@ -160,6 +167,8 @@
   StreamHandler m_handler;
   nghttp2_session* m_session = nullptr;
   std::map<std::int32_t, std::shared_ptr<LinkStream>> m_streams;
+  /// Streams of which the end of this side's data is being written; nghttp2 may have closed them already.
+  std::vector<std::shared_ptr<LinkStream>> m_ending_streams;
   AsyncCondition m_write_requested;
   AsyncCondition m_stream_opened;
   bool m_closed = false;
