Tell the next dispatcher that a request may have run, so that it isn't refused as not run

Callers would get 503 "not run" with Retry-After for a request that had run, and would count or send it again on that word. When the link to a dispatcher is lost, for example as its process ends at the end of its grace time with a request at an endpoint, the entry host remembers that the request may have run and forwards it to the next dispatcher. That one didn't know: if it refused the request early, let it expire in its queue, or couldn't read its claim, it ended it as NOT_RUN or ATTEMPT_NOT_RUN with maybe_ran false, and the entry host passed that on without its own knowledge.

DispatchRequest says whether an attempt of another dispatcher may have run. The dispatcher takes it into account for result codes and for maybe_ran: ANSWER_INCOMPLETE, DEADLINE_EXCEEDED or OUTCOME_UNKNOWN in place of "not run". What may be handed back and how often it may run doesn't depend on it. A claim that is granted shows that no other dispatcher has started the work, so it clears the mark.

Tests: node/NextDispatcherLearnsThatARequestMayHaveRun (3 of 5 rows) and node/RequestThatMayHaveRunAtAnotherDispatcherIsNotReportedAsNotRun (3 of 4 rows; the fourth guards the clearing) failed before.

--- a/fescueramp/dispatch/dispatch_types.h
+++ b/fescueramp/dispatch/dispatch_types.h
@@ -39,12 +39,13 @@
   /// (`m_unserved_since`) since the entry host last forwarded a request to it.
   std::int64_t m_served_since = 0;
   std::int64_t m_unserved_since = 0;
+  bool m_maybe_ran = false;  ///< Whether an attempt of another dispatcher may have run.
 };
 BOOST_DESCRIBE_STRUCT(DispatchRequest, (),
                       (m_request_id, m_entry_node, m_service, m_route, m_class_name, m_account, m_repeatable,
                        m_claim_key, m_fingerprint, m_deadline, m_caller_id, m_target_latency_ms,
                        m_max_attempts, m_forwards, m_revision, m_part_zone, m_may_move, m_split_version,
-                       m_split_digest, m_served_since, m_unserved_since))
+                       m_split_digest, m_served_since, m_unserved_since, m_maybe_ran))
 
 /// Maximum number of dispatchers that may hand back a request because of failing network paths. After that
 /// the dispatcher keeps the request, as the endpoints themselves are then likely to be down.
--- a/fescueramp/dispatch/fair_dispatcher.cc
+++ b/fescueramp/dispatch/fair_dispatcher.cc
@@ -332,7 +332,7 @@
   AbandonAttempts(pending, now, out);
   out.emplace_back(FinishRequest{request_id, static_cast<std::int64_t>(code),
                                  std::max<std::int64_t>(1, retry_after.count() / 1000), 0,
-                                 pending.m_maybe_ran, std::move(record)});
+                                 pending.MaybeRanAnywhere(), std::move(record)});
   m_pending.erase(request_id);
 }
 
@@ -342,8 +342,8 @@
   Pending& pending = found->second;
   if (pending.m_running.empty()) {
     RemoveFromQueue(pending);
-    Finish(pending, pending.m_maybe_ran ? ResultCode::kOutcomeUnknown : ResultCode::kNotRun, Duration(0), now,
-           out);
+    Finish(pending, pending.MaybeRanAnywhere() ? ResultCode::kOutcomeUnknown : ResultCode::kNotRun,
+           Duration(0), now, out);
   } else if (pending.m_request.m_repeatable) {
     // The slots stay taken until the attempts are known to have ended.
     pending.m_cancelled = true;
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -79,7 +79,7 @@
     bool m_may_run_again = false;
     bool m_cancelled = false;  ///< Whether the caller left.
     bool m_late = false;  ///< Whether it is queued behind the requests that can still meet their targets.
-    bool m_maybe_ran = false;  ///< Whether an earlier attempt may have run.
+    bool m_maybe_ran = false;  ///< Whether an earlier attempt of this dispatcher may have run.
     Instant m_arrival{};
     std::int64_t m_arrival_sequence = 0;
     double m_start_tag = 0;
@@ -92,6 +92,9 @@
     std::string m_endpoint;  ///< Endpoint of the last attempt.
     std::set<std::string> m_failed_endpoints;
     Instant m_next_review{};  ///< Time at which the request is reviewed again while it is queued.
+
+    /// Whether an earlier attempt of this or another dispatcher may have run.
+    bool MaybeRanAnywhere() const { return m_maybe_ran || m_request.m_maybe_ran; }
   };
 
   /// Queues and demand of one priority class.
@@ -145,6 +148,8 @@
 
   /// Whether a request is not expected to be served in time.
   bool CannotBeServed(const Pending& pending, const ClassState& state, Instant now) const;
+  /// Result code of a request that gets no attempt here any more, as far as what may have run decides it.
+  static ResultCode CodeForUnserved(const Pending& pending);
   bool RefuseEarly(const Pending& pending, const ClassState& state, Instant now, DispatchEffects& out);
   void ExpireQueued(Instant now, DispatchEffects& out);
 
--- a/fescueramp/dispatch/fair_dispatcher_attempts.cc
+++ b/fescueramp/dispatch/fair_dispatcher_attempts.cc
@@ -223,14 +223,10 @@
   if (pending.m_error_response_attempt > 0)
     return Deliver(pending, pending.m_error_response_attempt, now, out);
   const std::uint64_t fingerprint = pending.m_request.m_fingerprint;
-  ResultCode code = ResultCode::kResponseIncomplete;
-  if (!pending.m_maybe_ran) {
-    code = ResultCode::kNotRun;
-  } else if (!pending.m_request.m_repeatable) {
-    code = ResultCode::kOutcomeUnknown;
-  } else if (m_suspects.IsQuarantined(fingerprint)) {
+  ResultCode code = CodeForUnserved(pending);
+  if (code == ResultCode::kResponseIncomplete && m_suspects.IsQuarantined(fingerprint)) {
     code = ResultCode::kQuarantined;
-  } else if (now >= pending.m_request.m_deadline) {
+  } else if (code == ResultCode::kResponseIncomplete && now >= pending.m_request.m_deadline) {
     code = ResultCode::kDeadlineExceeded;
   }
   Finish(pending, code, code == ResultCode::kNotRun ? RetryAfterFor(pending, now) : Duration(0), now, out);
--- a/fescueramp/dispatch/fair_dispatcher_queue.cc
+++ b/fescueramp/dispatch/fair_dispatcher_queue.cc
@@ -135,20 +135,26 @@
          Admit(AdmissionLoadOf(state, now), AdmissionTimeOf(pending, now)) == Admission::kRefuse;
 }
 
+ResultCode FairDispatcher::CodeForUnserved(const Pending& pending) {
+  if (!pending.MaybeRanAnywhere()) return ResultCode::kNotRun;
+  return pending.m_request.m_repeatable ? ResultCode::kResponseIncomplete : ResultCode::kOutcomeUnknown;
+}
+
 bool FairDispatcher::RefuseEarly(const Pending& pending, const ClassState& state, Instant now,
                                  DispatchEffects& out) {
   ResultCode code = ResultCode::kOk;
   if (m_suspects.IsQuarantined(pending.m_request.m_fingerprint)) {
     code = ResultCode::kQuarantined;
   } else if (state.Waiting() >= m_settings.m_max_queued || CannotBeServed(pending, state, now)) {
-    code = ResultCode::kNotRun;
+    code = CodeForUnserved(pending);
   }
   if (code == ResultCode::kOk) return false;
   DecisionRecord record = MakeRecord(pending, now);
   record.m_outcome = GetResultInfo(code).m_name;
   RecordRequestOutcome(false, now);
   out.emplace_back(FinishRequest{pending.m_request.m_request_id, static_cast<std::int64_t>(code),
-                                 RetryAfterFor(pending, now).count() / 1000, 0, false, record});
+                                 RetryAfterFor(pending, now).count() / 1000, 0, pending.m_request.m_maybe_ran,
+                                 record});
   return true;
 }
 
--- a/fescueramp/node/entry_requests.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -154,6 +154,7 @@
   request.m_forwards =
       std::max(open.m_forwards - redirects, 1 + m_ownership.OwnerRank(PartOf(request), node));
   request.m_max_attempts -= open.m_attempts;
+  request.m_maybe_ran = open.m_maybe_ran;
   const UnreportedOutcomes unreported = std::exchange(m_outcomes[request.m_service], {});
   request.m_served_since = unreported.m_served;
   request.m_unserved_since = unreported.m_unserved;
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -303,13 +303,16 @@
   if (response.m_verdict == ClaimVerdict::kGranted) return StartClaimed(claim->second, now);
   ResultCode code = ResultCode::kOutcomeUnknown;
   if (response.m_verdict == ClaimVerdict::kDone) code = ResultCode::kAlreadyRun;
-  if (response.m_verdict == ClaimVerdict::kUnavailable) code = ResultCode::kAttemptNotRun;
+  const bool maybe_ran = claim->second.m_request.m_maybe_ran;
+  if (response.m_verdict == ClaimVerdict::kUnavailable && !maybe_ran) code = ResultCode::kAttemptNotRun;
   m_claims.erase(claim);
   FinishUnstarted(response.m_request_id, code, response.m_recorded_status);
 }
 
 void NodeReducer::StartClaimed(RequestClaim& claim, Instant now) {
-  const DispatchRequest request = claim.m_request;
+  DispatchRequest request = claim.m_request;
+  // Another dispatcher that had started the work would hold the claim.
+  request.m_maybe_ran = false;
   claim.m_granted = true;
   Dispatcher* dispatcher = claim.m_cancelled ? nullptr : FindOrCreateDispatcher(PartOf(request), now);
   if (!dispatcher) {
--- a/unit_tests/node_test.cc
+++ b/unit_tests/node_test.cc
@@ -253,6 +253,102 @@
   }
 }
 
+/// Ends of the forwards of one request, and whether an attempt may have run when it is forwarded again.
+struct EarlierForwards {
+  const char* m_name;
+  std::vector<ForwardOutcome> m_outcomes;
+  bool m_maybe_ran;
+};
+
+std::ostream& operator<<(std::ostream& out, const EarlierForwards& row) { return out << row.m_name; }
+
+const EarlierForwards kEarlierForwards[] = {
+    {"handed back", {ForwardOutcome::kHandedBack}, false},
+    {"not connected", {ForwardOutcome::kConnectFailed}, false},
+    {"lost", {ForwardOutcome::kLinkLost}, true},
+    {"lost, then handed back", {ForwardOutcome::kLinkLost, ForwardOutcome::kHandedBack}, true},
+    {"lost, then not connected", {ForwardOutcome::kLinkLost, ForwardOutcome::kConnectFailed}, true},
+};
+
+BOOST_DATA_TEST_CASE(NextDispatcherLearnsThatARequestMayHaveRun,
+                     boost::unit_test::data::make(kEarlierForwards), row) {
+  NodeGroup group(4);
+  group.Run(seconds(5));
+  group.Load(0, 1, SmallObjectSetJson(4, 2));
+  Effects effects = group.Post(0, RequestReceived{"n0-1", "GET", "/read/1", "", "", 0});
+  for (const ForwardOutcome outcome : row.m_outcomes) {
+    const std::string node = std::get<ForwardRequest>(effects.at(0)).m_node;
+    effects = group.Post(0, ForwardEnded{"n0-1", node, outcome, true});
+  }
+  BOOST_TEST(std::get<ForwardRequest>(effects.at(0)).m_request.m_maybe_ran == row.m_maybe_ran);
+}
+
+/// Why a dispatcher ends a request without an attempt, and the code if no attempt can have run elsewhere or
+/// if one may have.
+struct UnservedRequest {
+  const char* m_name;
+  bool m_repeatable;
+  milliseconds m_time;  ///< Time until the deadline.
+  bool m_slots_taken;   ///< Whether other requests hold all slots.
+  bool m_store_down;
+  ResultCode m_not_run;
+  ResultCode m_maybe_ran;
+};
+
+std::ostream& operator<<(std::ostream& out, const UnservedRequest& row) { return out << row.m_name; }
+
+const UnservedRequest kUnservedRequests[] = {
+    {"too late on arrival", true, milliseconds(1), false, false, ResultCode::kNotRun,
+     ResultCode::kResponseIncomplete},
+    {"too late in the queue", true, seconds(2), true, false, ResultCode::kNotRun,
+     ResultCode::kDeadlineExceeded},
+    {"claim not readable", false, seconds(20), false, true, ResultCode::kAttemptNotRun,
+     ResultCode::kOutcomeUnknown},
+    {"too late with its claim", false, milliseconds(1), false, false, ResultCode::kNotRun,
+     ResultCode::kNotRun},
+};
+
+BOOST_DATA_TEST_CASE(RequestThatMayHaveRunAtAnotherDispatcherIsNotReportedAsNotRun,
+                     boost::unit_test::data::make(kUnservedRequests), row) {
+  for (const bool maybe_ran : {false, true}) {
+    BOOST_TEST_CONTEXT((maybe_ran ? "may have run" : "did not run")) {
+      NodeGroup group(1);
+      group.Load(0, 1, SmallObjectSetJson(4, 2));
+      group.Run(seconds(1));
+      // A claim is decided after the arrival, where its effects are collected.
+      group.SetStoreDown(true);
+      DispatchRequest request;
+      request.m_service = "work";
+      request.m_class_name = "long";
+      request.m_deadline = group.Now() + seconds(60);
+      for (int i = 0; row.m_slots_taken && i < 8; ++i) {
+        request.m_request_id = "other-" + std::to_string(i);
+        group.Post(0, DispatchArrived{request, 0});
+      }
+      request.m_request_id = "n1-1";
+      request.m_repeatable = row.m_repeatable;
+      request.m_claim_key = row.m_repeatable ? 0 : 77;
+      request.m_deadline = group.Now() + row.m_time;
+      request.m_maybe_ran = maybe_ran;
+      Effects effects = group.Post(0, DispatchArrived{request, 0});
+      group.SetStoreDown(row.m_store_down);
+      const Effects later = group.RunAndCollect(0, seconds(30));
+      effects.insert(effects.end(), later.begin(), later.end());
+      int finished = 0;
+      for (const auto& effect : effects) {
+        const auto* finish = std::get_if<FinishRequest>(&effect);
+        if (!finish || finish->m_request_id != "n1-1") continue;
+        ++finished;
+        const auto code = static_cast<ResultCode>(finish->m_code);
+        BOOST_TEST(GetResultInfo(code).m_name ==
+                   GetResultInfo(maybe_ran ? row.m_maybe_ran : row.m_not_run).m_name);
+        if (row.m_repeatable) BOOST_TEST(finish->m_maybe_ran == maybe_ran);
+      }
+      BOOST_TEST(finished == 1);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NonRepeatableWorkIsSentOnlyAfterItsClaimIsWritten) {
   NodeGroup group(1);
   group.Load(0, 1, SmallObjectSetJson(4, 2));
