Keep what a lost relay has told, so that its request isn't refused as not run or run too often

Callers would get 503 "not run" for a request that had run, and endpoints would run one request more often than its route allows. A dispatcher that isn't the owner of a service relays to the owner. When the owner is lost before it responds, as at the end of its grace time, the relaying dispatcher takes the request itself as if it were new: it forgot the attempts that the owner had announced, and that one may have run. With two attempts allowed, up to four could run; if it refused or handed the request back, it said that nothing had run, and the entry host, which had been told nothing else, ended it as NOT_RUN.

Ruled out: non-repeatable work; its claim or its permit shows whether it has started.

RelayFailed says how many attempts the owner announced and whether one may have run (a stream was opened and no permit is withheld). The reducer subtracts the attempts, marks the request, and ends it when no attempt is left. What it ends without an attempt carries the mark, a hand-back or redirect too, and the entry host takes it over from there (ForwardEnded). ReleaseQueue returns the requests in place of their ids for that; the change of unit_tests/broken_dispatcher.h is that type only.

Tests: node/RequestWhoseRelayIsLostKeepsItsAttemptsAndMayHaveRun (rows 3 to 5 failed before, with two attempts started in place of one and none) and node/RequestHandedBackAfterALostRelayMayHaveRun failed before. Not run: a relay that is lost between real nodes.

--- a/fescueramp/daemon/dispatch_handler.cc
+++ b/fescueramp/daemon/dispatch_handler.cc
@@ -475,7 +475,10 @@
     // The owner became unreachable before it responded.
     call->m_stream->SetBrokenHandler(
         [sink = m_context.m_sink, id = effect.m_request_id] { sink->Post(DispatchCancelled{id}); });
-    m_context.m_sink->Post(RelayFailed{effect.m_request_id, effect.m_node});
+    const std::int64_t attempts = owner_stream ? owner_stream->InterimResponses() : 0;
+    // An attempt may have started without its announcement, unless it waits for a permit.
+    const bool maybe_ran = owner_stream && !call->m_permit_needed;
+    m_context.m_sink->Post(RelayFailed{effect.m_request_id, effect.m_node, attempts, maybe_ran});
     co_return false;
   }
   if (complete)
--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -148,10 +148,10 @@
         outcome == ForwardOutcome::kResponded || outcome == ForwardOutcome::kCallerLeft || body_too_long;
     const ForwardOutcome reported = body_too_long ? ForwardOutcome::kCallerLeft : outcome;
     if (outcome != ForwardOutcome::kResponded) LogForward(*call, forward, outcome);
-    m_context.m_sink->Post(ForwardEnded{call->m_id, forward.m_node, reported, call->m_body->Replayable(),
-                                        call->m_permitted, call->m_attempts, std::exchange(call->m_split, {}),
-                                        std::exchange(call->m_part_full, false), Succeeded(*call),
-                                        call->m_dispatcher_unresponsive});
+    m_context.m_sink->Post(ForwardEnded{
+        call->m_id, forward.m_node, reported, call->m_body->Replayable(), call->m_permitted, call->m_attempts,
+        std::exchange(call->m_split, {}), std::exchange(call->m_part_full, false), Succeeded(*call),
+        call->m_dispatcher_unresponsive, std::exchange(call->m_ran_elsewhere, false)});
     if (body_too_long) {
       ResponseHead result;
       result.m_code = static_cast<std::int64_t>(ResultCode::kBodyTooLarge);
@@ -258,6 +258,8 @@
     throw LinkError("malformed response head from a dispatcher");
   }
   const auto code = static_cast<ResultCode>(head.m_code);
+  const bool passed_on = code == ResultCode::kNotReady || code == ResultCode::kOtherPart;
+  call->m_ran_elsewhere = passed_on && head.m_maybe_ran;
   if (code == ResultCode::kNotReady) co_return ForwardOutcome::kHandedBack;
   if (code == ResultCode::kOtherPart) {
     call->m_split = std::move(head.m_split);
--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -99,7 +99,7 @@
 
   /// Removes and returns queued requests that never ran, so that another node can take them. Requests with a
   /// claim stay, as the claims belong to this node.
-  virtual std::vector<std::string> ReleaseQueue() = 0;
+  virtual std::vector<DispatchRequest> ReleaseQueue() = 0;
 
   /// Returns the current load.
   virtual DispatcherLoad Load(Instant now) const = 0;
--- a/fescueramp/dispatch/fair_dispatcher_queue.cc
+++ b/fescueramp/dispatch/fair_dispatcher_queue.cc
@@ -119,8 +119,8 @@
   DecisionRecord record = MakeRecord(pending, now);
   record.m_outcome = GetResultInfo(ResultCode::kOtherPart).m_name;
   out.emplace_back(FinishRequest{pending.m_request.m_request_id,
-                                 static_cast<std::int64_t>(ResultCode::kOtherPart), 0, 0, false,
-                                 std::move(record)});
+                                 static_cast<std::int64_t>(ResultCode::kOtherPart), 0, 0,
+                                 pending.m_request.m_maybe_ran, std::move(record)});
   return true;
 }
 
@@ -227,15 +227,15 @@
   }
 }
 
-std::vector<std::string> FairDispatcher::ReleaseQueue() {
-  std::vector<std::string> released;
+std::vector<DispatchRequest> FairDispatcher::ReleaseQueue() {
+  std::vector<DispatchRequest> released;
   for (auto& [id, pending] : m_pending) {
     const bool claimed = pending.m_request.m_claim_key != 0;
     if (!pending.m_running.empty() || pending.m_maybe_ran || claimed) continue;
     RemoveFromQueue(pending);
-    released.push_back(id);
+    released.push_back(pending.m_request);
   }
-  for (const auto& id : released) m_pending.erase(id);
+  for (const auto& request : released) m_pending.erase(request.m_request_id);
   return released;
 }
 
--- a/fescueramp/node/entry_requests.cc
+++ b/fescueramp/node/entry_requests.cc
@@ -189,6 +189,7 @@
   OpenRequest& open = found->second;
   // An unresponsive dispatcher that had the permit may have started one attempt that it did not report.
   open.m_attempts += event.m_attempts + (event.m_silent && event.m_permitted ? 1 : 0);
+  open.m_maybe_ran = open.m_maybe_ran || event.m_maybe_ran;
   switch (event.m_outcome) {
     case ForwardOutcome::kResponded:
       m_ownership.MarkReachable(event.m_node);
--- a/fescueramp/node/events.h
+++ b/fescueramp/node/events.h
@@ -66,10 +66,12 @@
   bool m_part_full = false;     ///< When redirected: whether the part is full.
   bool m_served = false;        ///< With kResponded: whether the caller received a successful response.
   bool m_silent = false;  ///< Whether the dispatcher was unresponsive; one more attempt may have started.
+  /// When handed back or redirected: whether an attempt may have run at a node that it was relayed to.
+  bool m_maybe_ran = false;
 };
 BOOST_DESCRIBE_STRUCT(ForwardEnded, (),
                       (m_request_id, m_node, m_outcome, m_body_replayable, m_permitted, m_attempts, m_split,
-                       m_part_full, m_served, m_silent))
+                       m_part_full, m_served, m_silent, m_maybe_ran))
 
 /// Another node has forwarded or relayed a request to this node.
 struct DispatchArrived {
@@ -86,13 +88,15 @@
 };
 BOOST_DESCRIBE_STRUCT(DispatchCancelled, (), (m_request_id))
 
-/// The dispatcher that a request was relayed to could not be reached; nothing was sent.
+/// The dispatcher that a request was relayed to could not be reached, or was lost before it responded.
 struct RelayFailed {
   static constexpr const char* kType = "relay_failed";
   std::string m_request_id;
   std::string m_node;
+  std::int64_t m_attempts = 0;  ///< Attempts that the dispatcher announced.
+  bool m_maybe_ran = false;     ///< Whether an attempt may have run.
 };
-BOOST_DESCRIBE_STRUCT(RelayFailed, (), (m_request_id, m_node))
+BOOST_DESCRIBE_STRUCT(RelayFailed, (), (m_request_id, m_node, m_attempts, m_maybe_ran))
 
 /// An attempt on an endpoint has ended.
 struct AttemptEnded {
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -103,7 +103,7 @@
 
 void NodeReducer::Handle(const DispatchArrived& event, Instant now) {
   // A relay would end with this node, however long the work takes.
-  if (m_leaving) return FinishUnstarted(event.m_request.m_request_id, ResultCode::kNotReady);
+  if (m_leaving) return FinishUnstarted(event.m_request, ResultCode::kNotReady);
   const std::string& self = m_settings.m_self.m_node;
   const std::string owner = m_ownership.ReachableOwner(PartOf(event.m_request), now);
   // A request that another dispatcher handed back is not relayed, because that dispatcher may be the owner.
@@ -123,16 +123,22 @@
 void NodeReducer::Handle(const RelayFailed& event, Instant now) {
   m_ownership.MarkUnreachable(event.m_node, now);
   const auto relayed = m_relayed.extract(event.m_request_id);
-  if (!relayed.empty()) AcceptDispatch(relayed.mapped(), now);
+  if (relayed.empty()) return;
+  DispatchRequest& request = relayed.mapped();
+  request.m_maybe_ran = request.m_maybe_ran || event.m_maybe_ran;
+  // Of non-repeatable work, the claim or the permit shows whether it has started.
+  if (request.m_repeatable) request.m_max_attempts -= event.m_attempts;
+  if (request.m_max_attempts <= 0) return FinishUnstarted(request, ResultCode::kResponseIncomplete);
+  AcceptDispatch(request, now);
 }
 
 void NodeReducer::AcceptDispatch(const DispatchRequest& request, Instant now) {
   if (m_table && HasOutdatedSplit(request)) return FinishRedirected(request);
   Dispatcher* dispatcher = FindOrCreateDispatcher(PartOf(request), now);
-  if (!dispatcher || m_leaving) return FinishUnstarted(request.m_request_id, ResultCode::kNotReady);
+  if (!dispatcher || m_leaving) return FinishUnstarted(request, ResultCode::kNotReady);
   const bool hands_back = request.m_forwards <= kMaxHandBacks && m_membership.OwnerCandidates().size() > 1 &&
                           dispatcher->PathsFailing(now);
-  if (hands_back) return FinishUnstarted(request.m_request_id, ResultCode::kNotReady);
+  if (hands_back) return FinishUnstarted(request, ResultCode::kNotReady);
   const bool claims =
       m_settings.m_claims && !request.m_repeatable && m_settings.m_policy == PolicyKind::kFair;
   if (claims) {
@@ -178,19 +184,19 @@
 }
 
 void NodeReducer::FinishRedirected(const DispatchRequest& request) {
-  FinishUnstarted(request.m_request_id, ResultCode::kOtherPart);
+  FinishUnstarted(request, ResultCode::kOtherPart);
   std::get<FinishRequest>(m_effects.back()).m_split = CurrentSplitView(request.m_service);
 }
 
-void NodeReducer::FinishUnstarted(const std::string& request_id, ResultCode code,
+void NodeReducer::FinishUnstarted(const DispatchRequest& request, ResultCode code,
                                   std::int64_t recorded_status) {
   DecisionRecord record;
-  record.m_request_id = request_id;
+  record.m_request_id = request.m_request_id;
   record.m_dispatcher = m_settings.m_self.m_node;
   record.m_revision = Revision();
   record.m_outcome = GetResultInfo(code).m_name;
-  m_effects.emplace_back(
-      FinishRequest{request_id, static_cast<std::int64_t>(code), 0, recorded_status, false, record});
+  m_effects.emplace_back(FinishRequest{request.m_request_id, static_cast<std::int64_t>(code), 0,
+                                       recorded_status, request.m_maybe_ran, record});
 }
 
 Dispatcher* NodeReducer::FindOrCreateDispatcher(const ServicePart& part, Instant now) {
@@ -303,10 +309,11 @@
   if (response.m_verdict == ClaimVerdict::kGranted) return StartClaimed(claim->second, now);
   ResultCode code = ResultCode::kOutcomeUnknown;
   if (response.m_verdict == ClaimVerdict::kDone) code = ResultCode::kAlreadyRun;
-  const bool maybe_ran = claim->second.m_request.m_maybe_ran;
-  if (response.m_verdict == ClaimVerdict::kUnavailable && !maybe_ran) code = ResultCode::kAttemptNotRun;
+  const DispatchRequest request = claim->second.m_request;
+  if (response.m_verdict == ClaimVerdict::kUnavailable && !request.m_maybe_ran)
+    code = ResultCode::kAttemptNotRun;
   m_claims.erase(claim);
-  FinishUnstarted(response.m_request_id, code, response.m_recorded_status);
+  FinishUnstarted(request, code, response.m_recorded_status);
 }
 
 void NodeReducer::StartClaimed(RequestClaim& claim, Instant now) {
@@ -318,7 +325,7 @@
   if (!dispatcher) {
     // The caller has left or the service was removed, so the claim is released.
     FinishClaim(request.m_request_id, false, static_cast<std::int64_t>(ResultCode::kNotRun), now);
-    return FinishUnstarted(request.m_request_id, ResultCode::kNotRun);
+    return FinishUnstarted(request, ResultCode::kNotRun);
   }
   m_part_by_request[request.m_request_id] = PartName(PartOf(request));
   DispatchEffects out;
@@ -448,9 +455,9 @@
   m_leaving = true;
   m_membership.Leave(MemberState::kLeaving, now);
   for (auto& [service, dispatcher] : m_dispatchers) {
-    for (const auto& request_id : dispatcher->ReleaseQueue()) {
-      m_part_by_request.erase(request_id);
-      FinishUnstarted(request_id, ResultCode::kNotReady);
+    for (const auto& request : dispatcher->ReleaseQueue()) {
+      m_part_by_request.erase(request.m_request_id);
+      FinishUnstarted(request, ResultCode::kNotReady);
     }
   }
 }
@@ -504,9 +511,9 @@
   if (m_live_endpoints_version > 0 || m_membership.OwnerCandidates().size() <= 1) return;
   for (auto& [name, dispatcher] : m_dispatchers) {
     if (now - m_parts.at(name).m_opened < kEndpointListTimeout) continue;
-    for (const auto& request_id : dispatcher->ReleaseQueue()) {
-      m_part_by_request.erase(request_id);
-      FinishUnstarted(request_id, ResultCode::kNotReady);
+    for (const auto& request : dispatcher->ReleaseQueue()) {
+      m_part_by_request.erase(request.m_request_id);
+      FinishUnstarted(request, ResultCode::kNotReady);
     }
   }
 }
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -157,7 +157,7 @@
   void ApplyLeavingEndpoints(Instant now);
   void CheckShutdown(Instant now);
   /// Finishes a request of which this dispatcher has started no attempt.
-  void FinishUnstarted(const std::string& request_id, ResultCode code, std::int64_t recorded_status = 0);
+  void FinishUnstarted(const DispatchRequest& request, ResultCode code, std::int64_t recorded_status = 0);
 
   NodeSettings m_settings;
   Membership m_membership;
--- a/unit_tests/broken_dispatcher.h
+++ b/unit_tests/broken_dispatcher.h
@@ -68,7 +68,7 @@
     InjectFault(out);
   }
 
-  std::vector<std::string> ReleaseQueue() override { return m_inner->ReleaseQueue(); }
+  std::vector<DispatchRequest> ReleaseQueue() override { return m_inner->ReleaseQueue(); }
 
   DispatcherLoad Load(Instant now) const override {
     DispatcherLoad load = m_inner->Load(now);
--- a/unit_tests/node_test.cc
+++ b/unit_tests/node_test.cc
@@ -2,6 +2,7 @@
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 #include <fstream>
+#include <optional>
 #include <sstream>
 
 #include "fescueramp/node/trace.h"
@@ -349,6 +350,80 @@
   }
 }
 
+/// End of a relay to the owner of a service, and what becomes of a request that may run twice.
+struct FailedRelay {
+  const char* m_name;
+  std::int64_t m_attempts;  ///< Attempts that the owner announced.
+  bool m_maybe_ran;
+  bool m_leaving;         ///< Whether the relaying node stops meanwhile.
+  std::int64_t m_starts;  ///< Attempts that the relaying node may start, as none gets a response.
+  ResultCode m_code;
+};
+
+std::ostream& operator<<(std::ostream& out, const FailedRelay& row) { return out << row.m_name; }
+
+const FailedRelay kFailedRelays[] = {
+    {"not connected", 0, false, false, 2, ResultCode::kResponseIncomplete},
+    {"not connected, leaving", 0, false, true, 0, ResultCode::kNotReady},
+    {"lost", 0, true, false, 2, ResultCode::kResponseIncomplete},
+    {"lost after one attempt", 1, true, false, 1, ResultCode::kResponseIncomplete},
+    {"lost after both attempts", 2, true, false, 0, ResultCode::kResponseIncomplete},
+    {"lost after one attempt, leaving", 1, true, true, 0, ResultCode::kNotReady},
+};
+
+BOOST_DATA_TEST_CASE(RequestWhoseRelayIsLostKeepsItsAttemptsAndMayHaveRun,
+                     boost::unit_test::data::make(kFailedRelays), row) {
+  NodeGroup group(4);
+  group.Run(seconds(5));
+  const int relaying = group.Node(0).OwnerOf("work") == "n0" ? 1 : 0;
+  group.Load(relaying, 1, SmallObjectSetJson(4, 2));
+  DispatchRequest request;
+  request.m_request_id = "n3-1";
+  request.m_service = "work";
+  request.m_class_name = "short";
+  request.m_max_attempts = 2;
+  request.m_deadline = group.Now() + seconds(10);
+  const auto relay = std::get<RelayRequest>(group.Post(relaying, DispatchArrived{request, 0}).at(0));
+  if (row.m_leaving) group.Post(relaying, ShutdownRequested{});
+  Effects effects = group.Post(relaying, RelayFailed{"n3-1", relay.m_node, row.m_attempts, row.m_maybe_ran});
+  std::int64_t starts = 0;
+  std::optional<FinishRequest> finished;
+  for (std::size_t i = 0; i < effects.size(); ++i) {
+    if (const auto* finish = std::get_if<FinishRequest>(&effects[i])) finished = *finish;
+    const auto* start = std::get_if<StartAttempt>(&effects[i]);
+    if (!start) continue;
+    ++starts;
+    AttemptResult failed;
+    failed.m_request_id = start->m_request_id;
+    failed.m_part = "work";
+    failed.m_attempt = start->m_attempt;
+    failed.m_outcome = AttemptOutcome::kTimedOut;
+    const Effects next = group.Post(relaying, AttemptEnded{failed});
+    effects.insert(effects.end(), next.begin(), next.end());
+  }
+  BOOST_TEST(starts == row.m_starts);
+  BOOST_REQUIRE(finished.has_value());
+  BOOST_TEST(GetResultInfo(static_cast<ResultCode>(finished->m_code)).m_name ==
+             GetResultInfo(row.m_code).m_name);
+  BOOST_TEST(finished->m_maybe_ran == (row.m_maybe_ran || row.m_starts > 0));
+}
+
+BOOST_AUTO_TEST_CASE(RequestHandedBackAfterALostRelayMayHaveRun) {
+  for (const bool maybe_ran : {false, true}) {
+    NodeGroup group(4);
+    group.Run(seconds(5));
+    group.Load(0, 1, SmallObjectSetJson(4, 2));
+    const Effects first = group.Post(0, RequestReceived{"n0-1", "GET", "/read/1", "", "", 0});
+    ForwardEnded ended{"n0-1", std::get<ForwardRequest>(first.at(0)).m_node, ForwardOutcome::kHandedBack};
+    ended.m_body_replayable = false;
+    ended.m_maybe_ran = maybe_ran;
+    const auto refused = std::get<RefuseRequest>(group.Post(0, ended).at(0));
+    BOOST_TEST(refused.m_maybe_ran == maybe_ran);
+    const ResultCode code = maybe_ran ? ResultCode::kResponseIncomplete : ResultCode::kNotRun;
+    BOOST_TEST(refused.m_code == static_cast<std::int64_t>(code));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(NonRepeatableWorkIsSentOnlyAfterItsClaimIsWritten) {
   NodeGroup group(1);
   group.Load(0, 1, SmallObjectSetJson(4, 2));
