Accept no request behind another one after the callers' port has closed

What callers saw: a request sent on a kept connection long after SIGTERM, behind one that was still in progress, was accepted and passed on, and cut off at the end of the grace time. Cause: the port closes because later requests might not finish within the grace time, but a draining connection with a request in progress still took one more, at any time. Change: when the port closes, open connections accept no further request, unless part of it has arrived. The response in progress announces the close, so the caller sends the next request to another node. The server's function is named after that. Measured: pipeline/NoRequestIsAcceptedBehindAnotherAfterThePortHasClosed; the row "after the close" fails without the change.

--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -383,7 +383,7 @@
   co_await Sleep(leave_notice);
   // The callers' port closes now, because later requests might not finish within the grace time.
   m_caller_server->Stop();
-  m_caller_server->CloseIdle();
+  m_caller_server->StopAccepting();
   m_caller_port_closed = true;
   Post(CallerPortClosed{});
   co_await Sleep(std::chrono::seconds(m_settings.m_shutdown_grace_s) - kShutdownMargin - leave_notice);
--- a/fescueramp/net/http_server.cc
+++ b/fescueramp/net/http_server.cc
@@ -73,9 +73,9 @@
   for (const auto& connection : m_state->m_connections) connection->Drain();
 }
 
-void HttpServer::CloseIdle() {
+void HttpServer::StopAccepting() {
   const auto connections = m_state->m_connections;
-  for (const auto& connection : connections) connection->CloseIdle();
+  for (const auto& connection : connections) connection->StopAccepting();
 }
 
 void HttpServer::SetLimits(const HttpServerLimits& limits) {
--- a/fescueramp/net/http_server.h
+++ b/fescueramp/net/http_server.h
@@ -90,8 +90,9 @@
   /// Drains all connections: each takes at most one more request and closes after its last response.
   void Drain();
 
-  /// Closes the connections without a pending request.
-  void CloseIdle();
+  /// Accepts no further request on the open connections, unless part of it has arrived; they close after
+  /// their last response. Idle ones close now.
+  void StopAccepting();
 
   /// Changes the limits; open connections use the new ones too.
   void SetLimits(const HttpServerLimits& limits);
--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -287,6 +287,11 @@
   m_stream.cancel();
 }
 
+void ServerConnection::StopAccepting() {
+  if (m_open_exchanges.empty()) return CloseIdle();
+  if (!BytesPending()) m_last_request_read = true;
+}
+
 void ServerConnection::Close(ConnectionEnd end) {
   m_last_request_read = true;
   if (std::exchange(m_closed, true)) return;
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -37,6 +37,10 @@
   /// Closes the connection if it has no pending request. Responses that the client is still reading arrive.
   void CloseIdle();
 
+  /// Accepts no further request, unless part of it has arrived, and closes the connection after its last
+  /// response, or now if it is idle.
+  void StopAccepting();
+
   /// Whether a request is pending, or the client may not have got a response yet. A head that has been read
   /// in part only doesn't count.
   bool Unfinished();
--- a/unit_tests/pipeline_test.cc
+++ b/unit_tests/pipeline_test.cc
@@ -324,13 +324,45 @@
 BOOST_AUTO_TEST_CASE(ConnectionWithPendingRequestIsNotClosedAsIdle) {
   ManualServer server;
   server.SendGet("/1");
-  server.Server().CloseIdle();
+  server.Server().StopAccepting();
   server.Respond("/1");
   BOOST_TEST(server.Received().find("body of /1") != std::string::npos);
-  server.Server().CloseIdle();
+  server.Server().StopAccepting();
   BOOST_TEST(server.Closed());
 }
 
+/// A request behind one in progress, around the close of the port.
+struct RequestAtTheClose {
+  const char* m_name;
+  std::string m_before;  ///< Bytes that arrive before the port closes.
+  std::string m_after;   ///< Bytes that arrive after that.
+  std::size_t m_requests_to_run;
+};
+
+std::ostream& operator<<(std::ostream& out, const RequestAtTheClose& row) { return out << row.m_name; }
+
+const RequestAtTheClose kRequestsAtTheClose[] = {
+    {"after the close", "", Get("/2"), 1},
+    {"half before the close", "GET /2 HTTP/1.1\r\n", "Host: a\r\n\r\n", 2},
+    {"before the close", Get("/2"), "", 2},
+};
+
+BOOST_DATA_TEST_CASE(NoRequestIsAcceptedBehindAnotherAfterThePortHasClosed,
+                     boost::unit_test::data::make(kRequestsAtTheClose), row) {
+  // It would get its response only after the one before it, which may take the rest of the grace time.
+  ManualServer server;
+  server.SendGet("/1");
+  server.Server().Drain();
+  server.SendUnnoticed(row.m_before);
+  server.Server().Stop();
+  server.Server().StopAccepting();
+  server.Send(row.m_after);
+  BOOST_TEST(server.StartedTargets().size() == row.m_requests_to_run);
+  server.Respond("/1");
+  server.Respond("/2");
+  CheckResponsesUpToTheClose(server);
+}
+
 BOOST_AUTO_TEST_CASE(HeaderAboveTheLimitIsRefused) {
   ManualServer server;
   HttpServerLimits limits;
--- a/unit_tests/server_stop_test.cc
+++ b/unit_tests/server_stop_test.cc
@@ -45,7 +45,7 @@
   void Stop() {
     m_server.Drain();
     m_server.Stop();
-    m_server.CloseIdle();
+    m_server.StopAccepting();
   }
 
   /// Runs the event loop for a time.
