End requests in progress before the grace time is over, so that responses behind them arrive

What callers saw: a request that had been answered by its endpoint seconds before got no response; its connection ended with the process, at the end of the grace time. Cause: responses go out in the order of the requests. Change: 300 ms before the process ends, forwards without a response time out. Their callers get a final answer instead of a cut connection, and the responses behind them follow. Measured: entry_handler/ResponseBehindARequestInProgressIsDeliveredWhenTheNodeEnds; with TimeOutForwards empty, 4 checks fail.

--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -186,6 +186,14 @@
   }
 }
 
+void EntryHandler::TimeOutForwards() {
+  for (const auto& [id, call] : m_calls) {
+    if (!call->m_stream || call->m_stream->HeadersComplete()) continue;
+    call->m_timed_out = true;
+    call->m_stream->Reset();
+  }
+}
+
 void EntryHandler::StartTimer(const std::shared_ptr<Call>& call, Duration left) {
   call->m_timer.expires_after(left);
   call->m_timer.async_wait([weak = std::weak_ptr(call)](const boost::system::error_code& ec) {
--- a/fescueramp/daemon/entry_handler.h
+++ b/fescueramp/daemon/entry_handler.h
@@ -26,6 +26,10 @@
   void Run(const ForwardRequest& effect);
   void Run(const RefuseRequest& effect);
 
+  /// Ends the forwards that have no response yet as timed out. Responses to requests behind them on the same
+  /// connection can be sent then.
+  void TimeOutForwards();
+
   /// Number of callers' requests whose response has not ended.
   std::size_t RequestsInProgress() const { return m_calls.size(); }
 
--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -19,6 +19,8 @@
     std::chrono::seconds(2);  ///< With 1,400 nodes, 700 reads a second on a store that recovers.
 constexpr auto kMaxIdleConnectionWait = std::chrono::seconds(3);
 constexpr auto kShutdownMargin = std::chrono::milliseconds(300);  ///< Reserve before the process is killed.
+constexpr auto kFinalResponseTime =
+    std::chrono::milliseconds(300);  ///< Time to send responses after the last forwards have ended.
 constexpr auto kSettingsPollPeriod = std::chrono::seconds(2);  ///< Time between checks of the settings file.
 constexpr int kLinkBacklog = 4096;
 constexpr std::int64_t kStatusOk = 200;
@@ -386,7 +388,11 @@
   m_caller_server->StopAccepting();
   m_caller_port_closed = true;
   Post(CallerPortClosed{});
-  co_await Sleep(std::chrono::seconds(m_settings.m_shutdown_grace_s) - kShutdownMargin - leave_notice);
+  co_await Sleep(std::chrono::seconds(m_settings.m_shutdown_grace_s) - kShutdownMargin - kFinalResponseTime -
+                 leave_notice);
+  // A response that is ready may wait behind a request in progress, and would be lost with the process.
+  m_entry->TimeOutForwards();
+  co_await Sleep(kFinalResponseTime);
   m_log.WriteUnthrottled("stopped", {{"reason", "the grace time is over"},
                                      {"caller_requests", m_entry->RequestsInProgress()},
                                      {"dispatched_requests", m_dispatch->RequestsInProgress()}});
--- a/fescueramp/net/link.h
+++ b/fescueramp/net/link.h
@@ -44,6 +44,9 @@
   /// Number of interim responses received, one per attempt started.
   std::int64_t InterimResponses() const { return m_interim_responses; }
 
+  /// Whether the peer's final header fields have arrived.
+  bool HeadersComplete() const { return m_headers_complete; }
+
   /// Final header fields received from the peer.
   const std::vector<HeaderField>& Headers() const { return m_headers; }
 
--- /dev/null
+++ b/unit_tests/entry_handler_test.cc
@@ -0,0 +1,172 @@
+#include "fescueramp/daemon/entry_handler.h"
+
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
+#include <boost/asio/io_context.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+
+#include "fescueramp/daemon/wire.h"
+#include "platform/platform_dialect.h"
+
+namespace fescueramp {
+namespace {
+
+using tcp = asio::ip::tcp;
+
+const std::string kHeldTarget = "/held";  ///< Target that the dispatcher doesn't respond to.
+
+std::string Get(const std::string& target) { return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n"; }
+
+/// Entry side of a node with one caller, and a dispatcher that responds at once to all requests but one.
+class EntryWithOneCaller final : public EventSink {
+ public:
+  EntryWithOneCaller()
+      : m_io(1),
+        m_acceptor(m_io, {asio::ip::address_v4::loopback(), 0}),
+        m_links(m_io.get_executor()),
+        m_connections(m_io.get_executor()),
+        m_journal(16),
+        m_log(m_io.get_executor(), m_clock, "n0", {0, 0}),
+        m_entry(MakeContext()),
+        m_server(
+            m_io.get_executor(), {},
+            [this](std::shared_ptr<HttpExchange> exchange) { return m_entry.Handle(std::move(exchange)); }),
+        m_caller(m_io) {
+    asio::co_spawn(m_io, AcceptLink(), asio::detached);
+    m_caller.connect({asio::ip::address_v4::loopback(), m_server.Port()});
+    m_caller.non_blocking(true);
+  }
+
+  ~EntryWithOneCaller() override {
+    m_links.CloseAll();
+    if (m_dispatcher) m_dispatcher->Close();
+    m_caller.close();
+    RunPending();
+  }
+
+  void Post(Event event) override {
+    if (const auto* received = std::get_if<RequestReceived>(&event)) {
+      ForwardRequest forward;
+      forward.m_request_id = received->m_request_id;
+      forward.m_node = "n1";
+      forward.m_address = "127.0.0.1";
+      forward.m_port = m_acceptor.local_endpoint().port();
+      forward.m_max_body_bytes = 1000;
+      forward.m_request.m_deadline = m_clock.Now() + std::chrono::hours(1);
+      m_entry.Run(forward);
+    } else if (const auto* ended = std::get_if<ForwardEnded>(&event)) {
+      m_timed_out += ended->m_outcome == ForwardOutcome::kTimedOut ? 1 : 0;
+      if (ended->m_outcome == ForwardOutcome::kResponded) return;
+      RefuseRequest refuse;
+      refuse.m_request_id = ended->m_request_id;
+      refuse.m_code = static_cast<std::int64_t>(ResultCode::kResponseIncomplete);
+      refuse.m_maybe_ran = true;
+      m_entry.Run(refuse);
+    }
+  }
+
+  void Send(const std::string& bytes) {
+    asio::write(m_caller, asio::buffer(bytes));
+    RunPending();
+  }
+
+  /// Everything that the caller has received so far.
+  std::string Received() {
+    RunPending();
+    boost::system::error_code ec;
+    while (!ec) {
+      std::string part(4096, '\0');
+      part.resize(m_caller.read_some(asio::buffer(part), ec));
+      m_received += part;
+    }
+    return m_received;
+  }
+
+  EntryHandler& Entry() { return m_entry; }
+  int TimedOut() const { return m_timed_out; }
+  std::size_t HeldStreams() const { return m_held_streams.size(); }
+
+ private:
+  /// Runs the event loop for about 20 ms.
+  void RunPending() {
+    for (int i = 0; i < 20; ++i) m_io.run_for(std::chrono::milliseconds(1));
+    m_io.restart();
+  }
+
+  asio::awaitable<void> AcceptLink() {
+    m_dispatcher = std::make_shared<Link>(co_await m_acceptor.async_accept(asio::use_awaitable), true,
+                                          [this](std::shared_ptr<LinkStream> stream) {
+                                            asio::co_spawn(m_io, Respond(std::move(stream)), asio::detached);
+                                          });
+    m_dispatcher->Start();
+  }
+
+  asio::awaitable<void> Respond(std::shared_ptr<LinkStream> stream) {
+    const auto request = wire::ParseJsonField<RequestHead>(stream->Headers(), wire::kHeadField);
+    if (request.m_target == kHeldTarget) {
+      m_held_streams.push_back(stream);
+      co_return;
+    }
+    ResponseHead head;
+    head.m_status = 200;
+    head.m_code = static_cast<std::int64_t>(ResultCode::kOk);
+    stream->SendHeaders({{":status", "200"}, wire::MakeJsonField(wire::kResponseField, head)});
+    std::string body = "body of " + request.m_target;
+    co_await stream->Write(std::move(body));
+    stream->Finish();
+  }
+
+  HandlerContext MakeContext() {
+    HandlerContext context;
+    context.m_executor = m_io.get_executor();
+    context.m_clock = &m_clock;
+    context.m_sink = this;
+    context.m_links = &m_links;
+    context.m_endpoints = &m_connections;
+    context.m_metrics = &m_metrics;
+    context.m_journal = &m_journal;
+    context.m_log = &m_log;
+    context.m_dialect = &m_dialect;
+    context.m_link_keys = &m_keys;
+    return context;
+  }
+
+  asio::io_context m_io;
+  tcp::acceptor m_acceptor;
+  SteadyWallClock m_clock;
+  platform::PlatformDialect m_dialect;
+  std::vector<std::string> m_keys{"0123456789abcdef"};
+  LinkPool m_links;
+  EndpointConnectionPool m_connections;
+  NodeMetrics m_metrics;
+  Journal m_journal;
+  EventLog m_log;
+  EntryHandler m_entry;
+  HttpServer m_server;
+  tcp::socket m_caller;
+  std::shared_ptr<Link> m_dispatcher;
+  std::vector<std::shared_ptr<LinkStream>> m_held_streams;
+  int m_timed_out = 0;
+  std::string m_received;
+};
+
+BOOST_AUTO_TEST_SUITE(entry_handler)
+
+BOOST_AUTO_TEST_CASE(ResponseBehindARequestInProgressIsDeliveredWhenTheNodeEnds) {
+  EntryWithOneCaller node;
+  node.Send(Get(kHeldTarget) + Get("/ready"));
+  BOOST_TEST(node.HeldStreams() == 1U);
+  BOOST_TEST(node.Received().empty());
+  node.Entry().TimeOutForwards();
+  const std::string received = node.Received();
+  BOOST_TEST(node.TimedOut() == 1);
+  BOOST_TEST(received.starts_with("HTTP/1.1 502"));
+  BOOST_TEST(received.find("body of /ready") != std::string::npos);
+  BOOST_TEST(node.Entry().RequestsInProgress() == 0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace
+}  // namespace fescueramp
