End a lingering connection although its client goes on sending

What an operator would see: a stopping node that doesn't end before its grace time is over, as one client sends on after its response, such as the rest of a body that was refused. Cause: the end of lingering cancelled the read in progress. If a read had just completed, nothing was cancelled and the next read began; since the process waits for lingering connections, that held the process too. Change: the end of lingering is a state that the reading checks.

--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -120,7 +120,7 @@
   m_stream.expires_never();
   asio::co_spawn(m_stream.get_executor(), LimitLinger(), asio::detached);
   m_summary.m_discarded_bytes += m_buffer.size();
-  while (!ec && !m_closed) {
+  while (!ec && !m_closed && !m_linger_ended) {
     m_summary.m_discarded_bytes += co_await m_stream.async_read_some(
         asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ec));
   }
@@ -134,10 +134,13 @@
     // A client that still gets the response has as long for each part as while the response was written.
     const std::chrono::milliseconds limit = undelivered > 0 ? m_settings.m_body_timeout : kLingerTimeout;
     if (without_progress >= limit) break;
-    co_await Sleep(kDeliveryCheckPeriod);
+    const std::chrono::milliseconds wait = undelivered > 0 ? kDeliveryCheckPeriod : kLingerTimeout;
+    co_await Sleep(wait);
     const bool progress = std::exchange(undelivered, UndeliveredBytes()) != undelivered;
-    without_progress = progress ? std::chrono::milliseconds(0) : without_progress + kDeliveryCheckPeriod;
+    without_progress = progress ? std::chrono::milliseconds(0) : without_progress + wait;
   }
+  // Cancelling alone doesn't end the reading of a client that sends all the time.
+  m_linger_ended = true;
   if (!m_closed) m_stream.cancel();
 }
 
--- a/unit_tests/node_stop_test.cc
+++ b/unit_tests/node_stop_test.cc
@@ -67,6 +67,16 @@
     asio::write(m_client, asio::buffer(bytes), ec);
   }
 
+  /// Sends bytes as far as the node takes them, and runs the node for one step.
+  void SendAndStep(const std::string& bytes) {
+    boost::system::error_code ec;
+    m_client.write_some(asio::buffer(bytes), ec);
+    m_io->run_one_for(milliseconds(1));
+    Run(milliseconds(0));
+  }
+
+  bool Ended() const { return !m_io; }
+
   /// Reads to the end of the connection, while the node runs.
   std::string ReceivedToTheEnd() {
     std::string all;
@@ -133,6 +143,17 @@
   BOOST_TEST(CountResponses(node.ReceivedToTheEnd()) == kRequests);
 }
 
+BOOST_AUTO_TEST_CASE(NodeEndsAlthoughARefusedClientGoesOnSending) {
+  StoppingNode node;
+  node.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000000000\r\n\r\n");
+  node.Run(milliseconds(20));
+  node.Shutdown();
+  const std::string more(65536, 'x');
+  const auto grace_end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
+  while (!node.Ended() && std::chrono::steady_clock::now() < grace_end) node.SendAndStep(more);
+  BOOST_TEST(node.Ended());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
