Notice callers that leave in the middle of a later request's body

What callers saw: nothing; the endpoint of an earlier request on their connection worked on for a caller that had left. connection_ended named the host as the cause. Cause: since requests keep running when a later one on their connection fails, a failed read of a body no longer told them that the client had left, and nothing read the connection behind a body that was given up. The end of the connection was named by its requests alone. Found by review. Change: a read of a body that ends with the connection is reported like one of a head. Once the handler of a request has ended, what is left of its body is read and dropped. A client that left is the first cause of an end; a connection with half a head only ends as idle. One name for attempts that may have run elsewhere.

--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -151,7 +151,7 @@
     m_context.m_sink->Post(ForwardEnded{
         call->m_id, forward.m_node, reported, call->m_body->Replayable(), call->m_permitted, call->m_attempts,
         std::exchange(call->m_split, {}), std::exchange(call->m_part_full, false), Succeeded(*call),
-        call->m_dispatcher_unresponsive, std::exchange(call->m_ran_elsewhere, false)});
+        call->m_dispatcher_unresponsive, std::exchange(call->m_maybe_ran_elsewhere, false)});
     if (body_too_long) {
       ResponseHead result;
       result.m_code = static_cast<std::int64_t>(ResultCode::kBodyTooLarge);
@@ -267,7 +267,7 @@
   }
   const auto code = static_cast<ResultCode>(head.m_code);
   const bool passed_on = code == ResultCode::kNotReady || code == ResultCode::kOtherPart;
-  call->m_ran_elsewhere = passed_on && head.m_maybe_ran;
+  call->m_maybe_ran_elsewhere = passed_on && head.m_maybe_ran;
   if (code == ResultCode::kNotReady) co_return ForwardOutcome::kHandedBack;
   if (code == ResultCode::kOtherPart) {
     call->m_split = std::move(head.m_split);
--- a/fescueramp/daemon/entry_handler.h
+++ b/fescueramp/daemon/entry_handler.h
@@ -58,7 +58,7 @@
     std::int64_t m_attempts = 0;             ///< Attempts that the last dispatcher announced.
     bool m_dispatcher_unresponsive = false;  ///< Whether the last dispatcher became unresponsive.
     bool m_permitted = true;                 ///< Whether the last dispatcher was permitted to start the work.
-    bool m_ran_elsewhere = false;            ///< After a hand-back: whether a relayed attempt may have run.
+    bool m_maybe_ran_elsewhere = false;      ///< After a hand-back: whether a relayed attempt may have run.
     SplitView m_split;                       ///< After a redirect: how the service is split.
     bool m_part_full = false;                ///< After a redirect: whether the part had no room.
     std::deque<Command> m_commands;
--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -80,27 +80,33 @@
   }
   co_await DiscardUntilResponded();
   co_await StopBodyReads();
-  ConnectionEnd end = m_last_request_read ? ConnectionEnd::kLastResponse : ConnectionEnd::kClientClosed;
-  if (m_closing_idle) end = ConnectionEnd::kIdle;
-  if (m_response_missing) end = ConnectionEnd::kResponseMissing;
   if (!m_closed) co_await Linger();
-  Close(end);
+  Close(End());
+}
+
+ConnectionEnd ServerConnection::End() const {
+  if (m_client_left) return ConnectionEnd::kClientClosed;
+  if (m_response_missing) return ConnectionEnd::kResponseMissing;
+  if (m_closing_idle) return ConnectionEnd::kIdle;
+  return m_last_request_read ? ConnectionEnd::kLastResponse : ConnectionEnd::kClientClosed;
 }
 
 asio::awaitable<void> ServerConnection::DiscardUntilResponded() {
   std::array<char, kDiscardChunkBytes> discarded{};
   boost::system::error_code ec;
   while (!m_open_exchanges.empty() && !m_closed) {
+    const ServerExchange& last = *m_open_exchanges.back();
+    if (!last.BodyRead() && last.HandlerFinished()) m_body_reads_stopped = true;
+    const bool body_ended = last.BodyRead() || m_body_reads_stopped;
     const bool reading_allowed =
-        m_open_exchanges.back()->BodyRead() && m_summary.m_discarded_bytes < kMaxDiscardedBytes;
+        body_ended && m_pending_body_reads == 0 && m_summary.m_discarded_bytes < kMaxDiscardedBytes;
     if (ec || !reading_allowed) {
       co_await m_changed.Wait();
       continue;
     }
     m_summary.m_discarded_bytes += co_await m_stream.socket().async_read_some(
         asio::buffer(discarded), asio::redirect_error(asio::use_awaitable, ec));
-    const bool client_left = ec && ec != asio::error::operation_aborted;
-    if (client_left) NotifyClosed();
+    if (ec && ec != asio::error::operation_aborted) NotifyClientLeft();
   }
 }
 
@@ -201,8 +207,11 @@
   m_reading_header = true;
   const HeaderResult result = co_await ReadHeader(parser);
   m_reading_header = false;
-  // Responses to earlier requests are still due when the head has taken too long.
-  if (result.m_error == asio::error::operation_aborted) m_last_request_read = true;
+  if (result.m_error == asio::error::operation_aborted) {
+    // The head has taken too long. Responses to earlier requests are still due.
+    m_closing_idle = m_open_exchanges.empty();
+    m_last_request_read = true;
+  }
   // The connection closed, or no further request is accepted.
   if (m_closed || m_last_request_read) co_return false;
   if (!result.m_problem.empty()) {
@@ -210,7 +219,7 @@
     co_return false;
   }
   if (result.m_error) {
-    NotifyClosed();
+    NotifyClientLeft();
     co_return false;
   }
   const auto exchange = std::make_shared<ServerExchange>(shared_from_this(), parser);
@@ -263,6 +272,11 @@
   co_await http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, ec));
 }
 
+void ServerConnection::NotifyClientLeft() {
+  m_client_left = true;
+  NotifyClosed();
+}
+
 void ServerConnection::NotifyClosed() {
   const auto open = m_open_exchanges;
   for (const auto& exchange : open) exchange->NotifyClosed();
@@ -271,8 +285,8 @@
 void ServerConnection::Drain() { m_draining = true; }
 
 bool ServerConnection::PrepareResponse(bool keep_alive) {
-  const bool more_requests = m_open_exchanges.size() > 1 || (!m_last_request_read && BytesPending());
-  if ((m_draining || m_last_request_read) && !more_requests) keep_alive = false;
+  const bool more_responses = m_open_exchanges.size() > 1 || (!m_last_request_read && BytesPending());
+  if ((m_draining || m_last_request_read) && !more_responses) keep_alive = false;
   if (!keep_alive) m_last_request_read = true;
   return keep_alive;
 }
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -99,6 +99,12 @@
   std::size_t UndeliveredBytes();
   asio::awaitable<void> RejectRequest(HeaderResult result);
   void NotifyClosed();
+
+  /// Notifies the handlers that the client has closed the connection, or that it broke.
+  void NotifyClientLeft();
+
+  /// Why the connection ends after its last response.
+  ConnectionEnd End() const;
   void ArmIdleTimer();
   void Close(ConnectionEnd end);
 
@@ -113,6 +119,7 @@
   bool m_last_request_read = false;   ///< Whether no further request will be accepted.
   bool m_reading_header = false;      ///< Whether a request head is being read.
   bool m_closing_idle = false;        ///< Whether the connection closes because it was idle.
+  bool m_client_left = false;         ///< Whether the client closed the connection, or it broke.
   bool m_linger_ended = false;        ///< Whether waiting for the client to close has ended.
   bool m_lingering = false;           ///< Whether all responses are written and the client is to close.
   bool m_response_missing = false;    ///< Whether it is the turn of a response that isn't sent.
--- a/fescueramp/net/server_exchange.cc
+++ b/fescueramp/net/server_exchange.cc
@@ -10,6 +10,12 @@
 
 constexpr std::size_t kBodyChunkBytes = 32 * 1024;  ///< Size of one read.
 
+/// Whether a read failed because the client closed its connection or the connection broke.
+bool IsClientLeft(const beast::error_code& ec) {
+  const bool ended = ec == http::error::partial_message || ec == http::error::end_of_stream;
+  return ended || ec == asio::error::eof || ec == asio::error::connection_reset;
+}
+
 }  // namespace
 
 ServerExchange::ServerExchange(std::shared_ptr<ServerConnection> connection,
@@ -44,6 +50,7 @@
     co_await http::async_read(m_connection->m_stream, m_connection->m_buffer, *m_parser, deadline.Token(ec));
     if (--m_connection->m_pending_body_reads == 0) m_connection->m_changed.Notify();
     if (ec == http::error::need_buffer) ec = {};
+    if (IsClientLeft(ec)) m_connection->NotifyClientLeft();
     if (ec) throw beast::system_error(ec);
     chunk.resize(chunk.size() - m_parser->get().body().size);
     if (m_parser->is_done()) m_connection->m_changed.Notify();
