Announce the close with the refusal of a malformed request, not before it

What callers saw: on a draining connection, the response to a request said that it closes the connection, and the refusal of a malformed request behind it followed, which they don't read. Cause: a refusal that waits for its turn was no open request, so the response before it was taken for the last one. While it waited, nothing noticed that the caller left. Change: a pending refusal counts as a response to come, and the connection is read meanwhile.

--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -256,9 +256,10 @@
 }
 
 asio::awaitable<void> ServerConnection::RejectRequest(HeaderResult result) {
-  while (!m_open_exchanges.empty() && !m_closed) co_await m_changed.Wait();
-  if (m_closed) co_return;
   m_last_request_read = true;
+  m_refusal_pending = true;
+  co_await DiscardUntilResponded();
+  if (m_closed) co_return;
   http::response<http::string_body> response;
   response.version(11);
   response.result(static_cast<unsigned>(result.m_status));
@@ -285,7 +286,8 @@
 void ServerConnection::Drain() { m_draining = true; }
 
 bool ServerConnection::PrepareResponse(bool keep_alive) {
-  const bool more_responses = m_open_exchanges.size() > 1 || (!m_last_request_read && BytesPending());
+  const bool more_responses =
+      m_open_exchanges.size() > 1 || m_refusal_pending || (!m_last_request_read && BytesPending());
   if ((m_draining || m_last_request_read) && !more_responses) keep_alive = false;
   if (!keep_alive) m_last_request_read = true;
   return keep_alive;
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -120,6 +120,7 @@
   bool m_reading_header = false;      ///< Whether a request head is being read.
   bool m_closing_idle = false;        ///< Whether the connection closes because it was idle.
   bool m_client_left = false;         ///< Whether the client closed the connection, or it broke.
+  bool m_refusal_pending = false;     ///< Whether a malformed request is refused after the open responses.
   bool m_linger_ended = false;        ///< Whether waiting for the client to close has ended.
   bool m_lingering = false;           ///< Whether all responses are written and the client is to close.
   bool m_response_missing = false;    ///< Whether it is the turn of a response that isn't sent.
--- a/unit_tests/client_leaves_test.cc
+++ b/unit_tests/client_leaves_test.cc
@@ -101,6 +101,7 @@
 const std::string kGet = "GET /1 HTTP/1.1\r\nHost: a\r\n\r\n";
 const std::string kHalfABody = "POST /2 HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc";
 const std::string kGivenUp = "POST /give-up HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc";
+const std::string kMalformed = "GET /2 HTTP/1.1\r\nHost: a\r\nHost: b\r\n\r\n";
 
 /// What a client has sent behind a request in progress when it leaves.
 struct LaterBytes {
@@ -115,6 +116,7 @@
     {"half a head", "GET /2 HTTP/1.1\r\n"},
     {"half a body", kHalfABody},
     {"half a body of a request that is given up", kGivenUp},
+    {"a malformed request", kMalformed},
 };
 
 BOOST_AUTO_TEST_SUITE(client_leaves)
@@ -129,6 +131,19 @@
   BOOST_TEST(server.RunToTheEnd() == "client_closed");
 }
 
+BOOST_AUTO_TEST_CASE(RefusalOfAMalformedRequestComesBeforeTheAnnouncedClose) {
+  WaitingServer server;
+  server.Send(kGet);
+  server.Send(kMalformed);
+  server.Server().Drain();
+  server.Release();
+  const std::string received = server.Received();
+  const auto refusal = received.find("HTTP/1.1 400");
+  BOOST_REQUIRE(refusal != std::string::npos);
+  BOOST_TEST(received.find("served") < refusal);
+  BOOST_TEST(received.find("Connection: close") > refusal);
+}
+
 BOOST_AUTO_TEST_CASE(ConnectionWithHalfAHeadEndsAsIdle) {
   WaitingServer server;
   server.Release();
