Deliver the responses on links before a stopping node's process ends

Callers would see a response that breaks off, or none, around the SIGTERM of a node that dispatches for other entry hosts, when the entry host is behind in reading the link.

Cause, in two places. A stopping node ended when its responses were written to the links' sockets. The entry host still sends on the link (settings, window updates, pings); bytes that come to a closed socket, or are unread in it, make the system reset the connection and drop what the entry host's system hasn't acknowledged. At the entry host, a write that fails after such a reset closed the link at once, together with responses that had arrived and weren't read yet.

StopWhenIdle now also waits until no accepted link is writing or has unacknowledged bytes, at the latest until the grace time is over. What has been acknowledged is in the peer's receive buffer, which a reset doesn't empty. After a failed write a link refuses new streams, and closes when it has read what has arrived. Server connections and links share UnacknowledgedBytes.

Found by reading.

Not limited: a peer whose host is gone while bytes are on their way to it can hold a stopping node until the grace time is over.

--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -2,6 +2,7 @@
 
 #include <malloc.h>
 
+#include <algorithm>
 #include <csignal>
 #include <filesystem>
 
@@ -262,9 +263,18 @@
           asio::co_spawn(m_io, ServeStream(std::move(stream)), asio::detached);
         });
     link->Start();
+    std::erase_if(m_accepted_links, [](const auto& accepted) { return accepted.expired(); });
+    m_accepted_links.push_back(link);
   }
 }
 
+bool NodeDaemon::LinksHaveUndeliveredBytes() const {
+  return std::any_of(m_accepted_links.begin(), m_accepted_links.end(), [](const auto& accepted) {
+    const auto link = accepted.lock();
+    return link && link->HasUndeliveredBytes();
+  });
+}
+
 asio::awaitable<void> NodeDaemon::ServeStream(std::shared_ptr<LinkStream> stream) {
   const std::string path(FindHeader(stream->Headers(), ":path"));
   const std::string_view code = FindHeader(stream->Headers(), wire::kAuthField);
@@ -365,11 +375,11 @@
 
 asio::awaitable<void> NodeDaemon::StopWhenIdle() {
   // Callers that send a request are asked to close their connection. Idle ones are awaited for a short time
-  // only; those that still read a response are awaited until the grace time is over.
+  // only; those that still read a response, and links, are awaited until the grace time is over.
   const Instant idle_wait_end = m_clock.Now() + kMaxIdleConnectionWait;
   while (!m_caller_port_closed || m_entry->RequestsInProgress() > 0 || m_dispatch->RequestsInProgress() > 0 ||
          (m_caller_server->Connections() > 0 && m_clock.Now() < idle_wait_end) ||
-         m_caller_server->Unfinished()) {
+         m_caller_server->Unfinished() || LinksHaveUndeliveredBytes()) {
     co_await Sleep(kTickPeriod);
   }
   m_log.WriteUnthrottled("stopped", {{"reason", "all requests have ended"}});
--- a/fescueramp/daemon/node_daemon.h
+++ b/fescueramp/daemon/node_daemon.h
@@ -8,6 +8,7 @@
 #include <fstream>
 #include <memory>
 #include <optional>
+#include <vector>
 
 #include "fescueramp/core/clock.h"
 #include "fescueramp/daemon/admin_api.h"
@@ -75,6 +76,9 @@
   void ApplyListenerLimits();
   asio::awaitable<void> WatchSettingsFile();
   asio::awaitable<void> AcceptLinks();
+
+  /// Whether a link that another node opened has bytes that the other node's system hasn't got.
+  bool LinksHaveUndeliveredBytes() const;
   asio::awaitable<void> ServeStream(std::shared_ptr<LinkStream> stream);
   asio::awaitable<void> StopWhenIdle();
   asio::awaitable<void> DrainAndStop();
@@ -110,6 +114,7 @@
   std::unique_ptr<HttpServer> m_admin_server;
   std::unique_ptr<HttpServer> m_ready_server;
   asio::ip::tcp::acceptor m_link_acceptor;
+  std::vector<std::weak_ptr<Link>> m_accepted_links;  ///< Links that other nodes opened.
   asio::signal_set m_signals;
   bool m_shutdown_started = false;
   bool m_caller_port_closed = false;  ///< Whether callers can no longer connect.
--- a/fescueramp/net/link.cc
+++ b/fescueramp/net/link.cc
@@ -6,6 +6,8 @@
 #include <boost/asio/write.hpp>
 #include <cstring>
 
+#include "fescueramp/net/unacknowledged_bytes.h"
+
 namespace fescueramp {
 namespace {
 
@@ -208,13 +210,24 @@
       continue;
     }
     boost::system::error_code ec;
+    m_writing = true;
     co_await asio::async_write(m_socket, asio::buffer(buffer), asio::redirect_error(asio::use_awaitable, ec));
-    if (ec) break;
+    m_writing = false;
+    if (ec) {
+      EndAfterArrivedData();
+      co_return;
+    }
     EndWrites();
   }
   Close();
 }
 
+void Link::EndAfterArrivedData() {
+  m_write_failed = true;
+  boost::system::error_code ignored;
+  m_socket.shutdown(asio::ip::tcp::socket::shutdown_both, ignored);
+}
+
 void Link::EndWrites() {
   for (const auto& stream : std::exchange(m_ending_streams, {})) {
     stream->m_write_ended = true;
@@ -250,6 +263,8 @@
   Close();
 }
 
+bool Link::HasUndeliveredBytes() { return !m_closed && (m_writing || UnacknowledgedBytes(m_socket) > 0); }
+
 bool Link::HasKeptOpenStreams() const {
   return std::any_of(m_streams.begin(), m_streams.end(),
                      [](const auto& item) { return item.second->m_keep_open && !item.second->m_broken; });
--- a/fescueramp/net/link.h
+++ b/fescueramp/net/link.h
@@ -136,7 +136,11 @@
   void Close();
 
   /// Whether new streams are refused.
-  bool Closed() const { return m_closed || m_suspended; }
+  bool Closed() const { return m_closed || m_suspended || m_write_failed; }
+
+  /// Whether bytes are being written, or the peer's system hasn't acknowledged all that were. The system
+  /// drops them when this process ends while data of the peer is unread.
+  bool HasUndeliveredBytes();
 
  private:
   friend class LinkStream;
@@ -148,6 +152,10 @@
 
   asio::awaitable<void> ReadLoop();
   asio::awaitable<void> WriteLoop();
+
+  /// Lets ReadLoop close the connection when it has read what has arrived: a write also fails when the peer
+  /// has ended after its last response.
+  void EndAfterArrivedData();
   asio::awaitable<void> LivenessLoop();
   void Flush() { m_write_requested.Notify(); }
   LinkStream* FindStream(std::int32_t id);
@@ -175,6 +183,8 @@
   AsyncCondition m_write_requested;
   AsyncCondition m_stream_opened;
   bool m_closed = false;
+  bool m_writing = false;            ///< Whether bytes are being written.
+  bool m_write_failed = false;       ///< Whether the connection takes no more data.
   bool m_peer_unresponsive = false;  ///< Whether the peer was unresponsive for too long.
   bool m_suspended = false;          ///< Whether only streams kept open are left.
   std::chrono::steady_clock::time_point m_last_receive;
--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -1,15 +1,12 @@
 #include "fescueramp/net/server_connection.h"
 
-#include <linux/sockios.h>
-#include <sys/ioctl.h>
-
-#include <algorithm>
 #include <array>
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 
 #include "fescueramp/net/read_deadline.h"
 #include "fescueramp/net/server_exchange.h"
+#include "fescueramp/net/unacknowledged_bytes.h"
 
 namespace fescueramp {
 namespace {
@@ -151,11 +148,9 @@
 }
 
 std::size_t ServerConnection::UndeliveredBytes() {
-  int bytes = 0;
-  if (m_closed || ::ioctl(m_stream.socket().native_handle(), SIOCOUTQ, &bytes) != 0) return 0;
-  // The end of sending counts as one byte.
-  if (m_lingering) --bytes;
-  return static_cast<std::size_t>(std::max(bytes, 0));
+  const std::size_t bytes = m_closed ? 0 : UnacknowledgedBytes(m_stream.socket());
+  // The end of sending carries no data.
+  return m_lingering && bytes > 0 ? bytes - 1 : bytes;
 }
 
 bool ServerConnection::Unfinished() {
--- a/unit_tests/link_test.cc
+++ b/unit_tests/link_test.cc
@@ -10,6 +10,9 @@
 
 using tcp = asio::ip::tcp;
 
+constexpr std::size_t kResponseBytes = 150'000;         ///< More than a link reads at once.
+constexpr int kWholeResponseBufferBytes = 1024 * 1024;  ///< Receive buffer that holds the response.
+
 /// Both ends of a link on loopback. Each has its own event loop, so that the server can be paused.
 class LinkPair {
  public:
@@ -62,6 +65,45 @@
   std::vector<std::shared_ptr<LinkStream>> m_accepted_streams;
 };
 
+/// Server of one link, which responds to one request and then resets the connection.
+class RespondingServer {
+ public:
+  /// Connects a client's socket to the server.
+  tcp::socket Accept(tcp::socket client) {
+    tcp::acceptor acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
+    client.connect(acceptor.local_endpoint());
+    tcp::socket socket = acceptor.accept();
+    // The system resets the connection when it is closed, as it does when data is unread.
+    socket.set_option(asio::socket_base::linger(true, 0));
+    m_link = std::make_shared<Link>(std::move(socket), true, [this](std::shared_ptr<LinkStream> stream) {
+      asio::co_spawn(m_io, Respond(std::move(stream)), asio::detached);
+    });
+    m_link->Start();
+    return client;
+  }
+
+  /// Responds, and resets the connection when the client's system has the response.
+  void RespondAndReset() {
+    while (!m_responded || m_link->HasUndeliveredBytes()) m_io.run_one_for(std::chrono::milliseconds(1));
+    m_link->Close();
+    m_io.restart();
+    m_io.run();
+  }
+
+ private:
+  asio::awaitable<void> Respond(std::shared_ptr<LinkStream> stream) {
+    stream->SendHeaders({{":status", "200"}});
+    co_await stream->Write(std::string(kResponseBytes, 'x'));
+    stream->Finish();
+    co_await stream->WaitWritten();
+    m_responded = true;
+  }
+
+  asio::io_context m_io;
+  std::shared_ptr<Link> m_link;
+  bool m_responded = false;
+};
+
 BOOST_AUTO_TEST_SUITE(link)
 
 BOOST_AUTO_TEST_CASE(RunningWorkAtUnresponsiveNodeIsKept) {
@@ -102,6 +144,31 @@
   BOOST_TEST(pair.Client().Closed());
 }
 
+BOOST_AUTO_TEST_CASE(ResponseThatHasArrivedIsReadAfterAFailedWrite) {
+  RespondingServer server;
+  asio::io_context io;
+  tcp::socket socket(io, tcp::v4());
+  socket.set_option(asio::socket_base::receive_buffer_size(kWholeResponseBufferBytes));
+  const auto client = std::make_shared<Link>(server.Accept(std::move(socket)), false, nullptr);
+  client->Start();
+  const auto stream = client->Open("/run", {}, false);
+  io.poll();
+  server.RespondAndReset();
+  const auto not_sent = client->Open("/not-sent", {}, false);
+  std::size_t received = 0;
+  asio::co_spawn(
+      io,
+      [&]() -> asio::awaitable<void> {
+        co_await stream->WaitHeaders();
+        received = (co_await stream->ReadAll()).size();
+      },
+      [](std::exception_ptr) {});
+  io.restart();
+  io.run();
+  BOOST_TEST(received == kResponseBytes);
+  BOOST_TEST(not_sent->Broken());
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/unit_tests/node_stop_test.cc
+++ b/unit_tests/node_stop_test.cc
@@ -1,3 +1,5 @@
+#include <boost/asio/co_spawn.hpp>
+#include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/write.hpp>
 #include <boost/test/data/monomorphic.hpp>
@@ -6,6 +8,7 @@
 #include <csignal>
 
 #include "fescueramp/daemon/node_daemon.h"
+#include "fescueramp/daemon/wire.h"
 
 namespace fescueramp {
 namespace {
@@ -17,6 +20,7 @@
 const std::string kStatusLineStart = "HTTP/1.1 ";
 constexpr int kRequests = 200;            ///< Their responses fit the node's send buffer, not the client's.
 constexpr int kClientBufferBytes = 4096;  ///< Receive buffer of the client.
+const std::string kLinkKey = "0123456789abcdef";
 constexpr std::int64_t kRefusedPort = 1;  ///< Port of the store, which is away.
 
 std::uint16_t FreePort() {
@@ -24,25 +28,21 @@
   return tcp::acceptor(io, {asio::ip::address_v4::loopback(), 0}).local_endpoint().port();
 }
 
-/// A node without a store, which refuses every request, and one client that reads only when told to.
+/// A node without a store, which refuses every request.
 class StoppingNode {
  public:
-  StoppingNode() : m_client(m_client_io) {
+  StoppingNode() {
     m_settings.m_node = "n0";
     m_settings.m_zone = "az0";
     m_settings.m_caller_port = FreePort();
+    m_settings.m_link_port = FreePort();
     m_settings.m_platform.m_address = "127.0.0.1";
     m_settings.m_platform.m_port = kRefusedPort;
-    m_settings.m_link_keys = {"0123456789abcdef"};
+    m_settings.m_link_keys = {kLinkKey};
     m_settings.m_receipt_keys = {"0123456789abcdef"};
     m_settings.m_leave_notice_ms = 0;
     m_io = std::make_unique<asio::io_context>(1);
     m_node = std::make_unique<NodeDaemon>(*m_io, m_settings, "", nullptr);
-    m_client.open(tcp::v4());
-    m_client.set_option(asio::socket_base::receive_buffer_size(kClientBufferBytes));
-    m_client.connect(
-        {asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(m_settings.m_caller_port)});
-    m_client.non_blocking(true);
   }
 
   /// Runs the node for a time. When it has ended, its sockets close like those of a process that has ended.
@@ -60,23 +60,51 @@
     }
   }
 
+  /// Runs one step of the node, or waits for it for a short time.
+  void Step() {
+    m_io->run_one_for(milliseconds(1));
+    Run(milliseconds(0));
+  }
+
   void Shutdown() { m_node->Shutdown(); }
 
+  bool Ended() const { return !m_io; }
+
+  std::int64_t CallerPort() const { return m_settings.m_caller_port; }
+  std::int64_t LinkPort() const { return m_settings.m_link_port; }
+
+ private:
+  Settings m_settings;
+  std::unique_ptr<asio::io_context> m_io;
+  std::unique_ptr<NodeDaemon> m_node;
+};
+
+/// Connects to a port of the node with a small receive buffer.
+tcp::socket Connect(asio::io_context& io, std::int64_t port) {
+  tcp::socket client(io, tcp::v4());
+  client.set_option(asio::socket_base::receive_buffer_size(kClientBufferBytes));
+  client.connect({asio::ip::address_v4::loopback(), static_cast<std::uint16_t>(port)});
+  return client;
+}
+
+/// A client of a node that reads only when told to.
+class SlowReader {
+ public:
+  explicit SlowReader(StoppingNode& node) : m_node(node), m_client(Connect(m_io, node.CallerPort())) {
+    m_client.non_blocking(true);
+  }
+
   void Send(const std::string& bytes) {
     boost::system::error_code ec;
     asio::write(m_client, asio::buffer(bytes), ec);
   }
 
-  /// Sends bytes as far as the node takes them, and runs the node for one step.
-  void SendAndStep(const std::string& bytes) {
+  /// Sends bytes as far as the node takes them.
+  void SendSome(const std::string& bytes) {
     boost::system::error_code ec;
     m_client.write_some(asio::buffer(bytes), ec);
-    m_io->run_one_for(milliseconds(1));
-    Run(milliseconds(0));
   }
 
-  bool Ended() const { return !m_io; }
-
   /// Reads to the end of the connection, while the node runs.
   std::string ReceivedToTheEnd() {
     std::string all;
@@ -85,19 +113,73 @@
       std::string part(kClientBufferBytes, '\0');
       part.resize(m_client.read_some(asio::buffer(part), ec));
       all += part;
-      Run(milliseconds(1));
+      m_node.Run(milliseconds(1));
     }
     return all;
   }
 
  private:
-  Settings m_settings;
-  std::unique_ptr<asio::io_context> m_io;
-  std::unique_ptr<NodeDaemon> m_node;
-  asio::io_context m_client_io;
+  StoppingNode& m_node;
+  asio::io_context m_io;
   tcp::socket m_client;
 };
 
+/// Another node with a link to the node, which runs only when told to.
+class SlowPeer {
+ public:
+  explicit SlowPeer(StoppingNode& node)
+      : m_node(node), m_link(std::make_shared<Link>(Connect(m_io, node.LinkPort()), false, nullptr)) {
+    m_link->Start();
+  }
+
+  ~SlowPeer() {
+    m_link->Close();
+    RunReady();
+  }
+
+  /// Sends a query on a new stream. Its response is read as soon as the peer runs again.
+  void Query() {
+    const std::string path = std::string(wire::kQueryPath) + "status";
+    asio::co_spawn(
+        m_io,
+        ReadResponse(m_link->Open(path, {{wire::kAuthField, wire::MakeAuthCode(kLinkKey, path)}}, false)),
+        asio::detached);
+    ++m_open_queries;
+    RunReady();
+  }
+
+  void RunReady() {
+    m_io.restart();
+    m_io.poll();
+  }
+
+  /// Runs the peer and the node until every query has ended. Returns the number of whole responses.
+  int WholeResponses() {
+    while (m_open_queries > 0) {
+      RunReady();
+      m_node.Run(milliseconds(1));
+    }
+    return m_whole_responses;
+  }
+
+ private:
+  asio::awaitable<void> ReadResponse(std::shared_ptr<LinkStream> stream) {
+    try {
+      co_await stream->WaitHeaders();
+      if (!(co_await stream->ReadAll()).empty()) ++m_whole_responses;
+    } catch (const LinkError&) {
+      // Not a whole response.
+    }
+    --m_open_queries;
+  }
+
+  StoppingNode& m_node;
+  asio::io_context m_io;
+  std::shared_ptr<Link> m_link;
+  int m_open_queries = 0;
+  int m_whole_responses = 0;
+};
+
 int CountResponses(const std::string& received) {
   int responses = 0;
   for (auto at = received.find(kStatusLineStart); at != std::string::npos;
@@ -128,9 +210,10 @@
 
 BOOST_DATA_TEST_CASE(NodeEndsOnlyWhenASlowReaderHasItsResponses, boost::unit_test::data::make(kStops), row) {
   StoppingNode node;
+  SlowReader client(node);
   std::string requests;
   for (int i = 0; i < kRequests; ++i) requests += kRequest;
-  node.Send(requests);
+  client.Send(requests);
   node.RunReady();
   node.Shutdown();
   for (const int signal : row.m_signals) {
@@ -138,19 +221,33 @@
     node.Run(milliseconds(1));
   }
   node.Run(row.m_pause);
-  node.Send(kRequest);
+  client.Send(kRequest);
   node.Run(milliseconds(20));
-  BOOST_TEST(CountResponses(node.ReceivedToTheEnd()) == kRequests);
+  BOOST_TEST(CountResponses(client.ReceivedToTheEnd()) == kRequests);
+}
+
+BOOST_AUTO_TEST_CASE(NodeEndsOnlyWhenTheSystemsOfItsPeersHaveTheResponses) {
+  StoppingNode node;
+  SlowPeer peer(node);
+  for (int i = 0; i < kRequests; ++i) peer.Query();
+  node.RunReady();
+  node.Shutdown();
+  node.Run(milliseconds(200));
+  BOOST_TEST(peer.WholeResponses() == kRequests);
 }
 
 BOOST_AUTO_TEST_CASE(NodeEndsAlthoughARefusedClientGoesOnSending) {
   StoppingNode node;
-  node.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000000000\r\n\r\n");
+  SlowReader client(node);
+  client.Send("POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 100000000000\r\n\r\n");
   node.Run(milliseconds(20));
   node.Shutdown();
   const std::string more(65536, 'x');
   const auto grace_end = std::chrono::steady_clock::now() + std::chrono::seconds(30);
-  while (!node.Ended() && std::chrono::steady_clock::now() < grace_end) node.SendAndStep(more);
+  while (!node.Ended() && std::chrono::steady_clock::now() < grace_end) {
+    client.SendSome(more);
+    node.Step();
+  }
   BOOST_TEST(node.Ended());
 }
 
