--- a/fescueramp/net/link.h
+++ b/fescueramp/net/link.h
@@ -101,8 +101,8 @@
   std::string m_send_buffer;
   std::size_t m_send_offset = 0;
   bool m_local_finished = false;
-  bool m_deferred = false;     ///< Whether nghttp2 waits for more data to send.
-  bool m_end_queued = false;   ///< Whether the end of this side's data is being written.
+  bool m_deferred = false;    ///< Whether nghttp2 waits for more data to send.
+  bool m_end_queued = false;  ///< Whether the end of this side's data is being written; before m_write_ended.
   bool m_write_ended = false;  ///< Whether nothing of this side is left to be written.
   bool m_broken = false;
   bool m_peer_unresponsive = false;
--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -65,7 +65,7 @@
 
 asio::awaitable<void> ServerConnection::Run() {
   const auto self = shared_from_this();
-  while (!m_last_request_read && !m_closed) {
+  while (!m_accepting_stopped && !m_closed) {
     if (!co_await WaitForRequest()) break;
     if (!co_await AcceptRequest()) break;
     // The next request starts where the body of this one ends.
@@ -85,7 +85,7 @@
   if (m_client_left) return ConnectionEnd::kClientClosed;
   if (m_response_missing) return ConnectionEnd::kResponseMissing;
   if (m_closing_idle) return ConnectionEnd::kIdle;
-  return m_last_request_read ? ConnectionEnd::kLastResponse : ConnectionEnd::kClientClosed;
+  return m_accepting_stopped ? ConnectionEnd::kLastResponse : ConnectionEnd::kClientClosed;
 }
 
 asio::awaitable<void> ServerConnection::DiscardUntilResponded() {
@@ -155,7 +155,7 @@
 
 bool ServerConnection::Unfinished() {
   if (m_closed) return false;
-  const bool request_waits = !m_last_request_read && !m_reading_header && BytesPending();
+  const bool request_waits = !m_accepting_stopped && !m_reading_header && BytesPending();
   return !m_open_exchanges.empty() || m_lingering || request_waits || UndeliveredBytes() > 0;
 }
 
@@ -166,7 +166,7 @@
   co_await m_stream.socket().async_wait(tcp::socket::wait_read,
                                         asio::redirect_error(asio::use_awaitable, ec));
   m_idle_timer.cancel();
-  co_return !ec && !m_closed && !m_last_request_read;
+  co_return !ec && !m_closed && !m_accepting_stopped;
 }
 
 void ServerConnection::ArmIdleTimer() {
@@ -204,11 +204,11 @@
   m_reading_header = false;
   if (result.m_error == asio::error::operation_aborted) {
     // The head has taken too long. Responses to earlier requests are still due.
-    m_closing_idle = m_open_exchanges.empty();
-    m_last_request_read = true;
+    m_closing_idle = !m_accepting_stopped && m_open_exchanges.empty();
+    m_accepting_stopped = true;
   }
   // The connection closed, or no further request is accepted.
-  if (m_closed || m_last_request_read) co_return false;
+  if (m_closed || m_accepting_stopped) co_return false;
   if (!result.m_problem.empty()) {
     co_await RejectRequest(result);
     co_return false;
@@ -222,7 +222,7 @@
   ++m_summary.m_requests;
   // A client that always has pending requests would otherwise never get a last response. Requests behind
   // this one stay unread, so the client may retry them.
-  if (m_draining || !exchange->KeepAlive()) m_last_request_read = true;
+  if (m_draining || !exchange->KeepAlive()) m_accepting_stopped = true;
   asio::co_spawn(m_stream.get_executor(), Serve(exchange), asio::detached);
   co_return true;
 }
@@ -237,13 +237,13 @@
   if (!exchange->ResponseSent()) co_await EndAtMissingResponse(exchange);
   std::erase(m_open_exchanges, exchange);
   // No further request is read, so cancel the wait for one.
-  if (m_last_request_read && m_open_exchanges.empty() && !m_closed) m_stream.cancel();
+  if (m_accepting_stopped && m_open_exchanges.empty() && !m_closed) m_stream.cancel();
   if (m_open_exchanges.empty() && !m_closed) ArmIdleTimer();
   m_changed.Notify();
 }
 
 asio::awaitable<void> ServerConnection::EndAtMissingResponse(std::shared_ptr<ServerExchange> exchange) {
-  m_last_request_read = true;
+  m_accepting_stopped = true;
   m_changed.Notify();
   while (!m_closed && m_open_exchanges.front() != exchange) co_await m_changed.Wait();
   m_response_missing = true;
@@ -251,7 +251,7 @@
 }
 
 asio::awaitable<void> ServerConnection::RejectRequest(HeaderResult result) {
-  m_last_request_read = true;
+  m_accepting_stopped = true;
   m_refusal_pending = true;
   co_await DiscardUntilResponded();
   if (m_closed) co_return;
@@ -280,11 +280,11 @@
 
 void ServerConnection::Drain() { m_draining = true; }
 
-bool ServerConnection::PrepareResponse(bool keep_alive) {
+bool ServerConnection::DecideKeepAlive(bool keep_alive) {
   const bool more_responses =
-      m_open_exchanges.size() > 1 || m_refusal_pending || (!m_last_request_read && BytesPending());
-  if ((m_draining || m_last_request_read) && !more_responses) keep_alive = false;
-  if (!keep_alive) m_last_request_read = true;
+      m_open_exchanges.size() > 1 || m_refusal_pending || (!m_accepting_stopped && BytesPending());
+  if ((m_draining || m_accepting_stopped) && !more_responses) keep_alive = false;
+  if (!keep_alive) m_accepting_stopped = true;
   return keep_alive;
 }
 
@@ -294,20 +294,20 @@
 }
 
 void ServerConnection::CloseIdle() {
-  const bool ending = m_closed || m_last_request_read || m_lingering;
+  const bool ending = m_closed || m_accepting_stopped || m_lingering;
   if (ending || !m_open_exchanges.empty() || BytesPending()) return;
   m_closing_idle = true;
-  m_last_request_read = true;
+  m_accepting_stopped = true;
   m_stream.cancel();
 }
 
 void ServerConnection::StopAccepting() {
   if (m_open_exchanges.empty()) return CloseIdle();
-  if (!BytesPending()) m_last_request_read = true;
+  if (!BytesPending()) m_accepting_stopped = true;
 }
 
 void ServerConnection::Close(ConnectionEnd end) {
-  m_last_request_read = true;
+  m_accepting_stopped = true;
   if (std::exchange(m_closed, true)) return;
   m_summary.m_end = end;
   beast::error_code ignored;
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -68,11 +68,10 @@
   asio::awaitable<bool> AcceptRequest();
   asio::awaitable<void> Serve(std::shared_ptr<ServerExchange> exchange);
 
-  /// Decides whether the connection stays open after the response that is about to be sent. If not, no
-  /// further request is accepted from now on: clients read nothing behind a response that announces the
-  /// close.
+  /// Decides whether the connection stays open after the response that is about to be sent, and stops
+  /// accepting requests if not: clients read nothing behind a response that announces the close.
   /// @param keep_alive Whether the exchange allows the connection to stay open.
-  bool PrepareResponse(bool keep_alive);
+  bool DecideKeepAlive(bool keep_alive);
 
   /// Whether part of a request has arrived that is not accepted yet.
   bool BytesPending();
@@ -97,7 +96,11 @@
 
   /// Number of bytes sent that the client's system hasn't acknowledged.
   std::size_t UndeliveredBytes();
+
+  /// Sends the refusal of a malformed request after the responses to the requests before it.
   asio::awaitable<void> RejectRequest(HeaderResult result);
+
+  /// Notifies the handlers that no response can be sent any more.
   void NotifyClosed();
 
   /// Notifies the handlers that the client has closed the connection, or that it broke.
@@ -116,7 +119,7 @@
   AsyncCondition m_changed;
   asio::steady_timer m_idle_timer;
   bool m_draining = false;
-  bool m_last_request_read = false;   ///< Whether no further request will be accepted.
+  bool m_accepting_stopped = false;   ///< Whether no further request will be accepted.
   bool m_reading_header = false;      ///< Whether a request head is being read.
   bool m_closing_idle = false;        ///< Whether the connection closes because it was idle.
   bool m_client_left = false;         ///< Whether the client closed the connection, or it broke.
--- a/fescueramp/net/server_exchange.cc
+++ b/fescueramp/net/server_exchange.cc
@@ -153,7 +153,7 @@
   response.result(static_cast<unsigned>(status));
   for (const auto& header : headers) response.insert(header.m_name, header.m_value);
   // Unread body data would be parsed as the next request.
-  m_keep_alive = m_connection->PrepareResponse(m_keep_alive && m_parser->is_done());
+  m_keep_alive = m_connection->DecideKeepAlive(m_keep_alive && m_parser->is_done());
   response.keep_alive(m_keep_alive);
   m_close_announced = !m_keep_alive;
 }
