--- a/unit_tests/dispatch_handler_test.cc
+++ b/unit_tests/dispatch_handler_test.cc
@@ -5,7 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fescueramp/daemon/wire.h"
-#include "platform/platform_dialect.h"
+#include "unit_tests/handler_dependencies.h"
 #include "unit_tests/raw_endpoint.h"
 
 namespace fescueramp {
@@ -27,11 +27,8 @@
  public:
   explicit DispatchForOneEntryHost(std::size_t body_bytes)
       : m_endpoint(ResponseOf(body_bytes), ""),
-        m_links(Io().get_executor()),
-        m_connections(Io().get_executor()),
-        m_journal(16),
-        m_log(Io().get_executor(), m_clock, "n0", {0, 0}),
-        m_handler(MakeContext()) {
+        m_dependencies(Io().get_executor()),
+        m_handler(m_dependencies.MakeContext(*this)) {
     tcp::acceptor acceptor(Io(), tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     tcp::socket client(m_entry_io);
     client.connect(acceptor.local_endpoint());
@@ -68,7 +65,7 @@
       start.m_address = "127.0.0.1";
       start.m_port = m_endpoint.Port();
       start.m_progress_timeout = std::chrono::hours(1);
-      start.m_deadline = m_clock.Now() + kDeadline;
+      start.m_deadline = m_dependencies.Now() + kDeadline;
       m_handler.Run(start);
     } else if (const auto* ended = std::get_if<AttemptEnded>(&event)) {
       m_response_read = ended->m_result.m_outcome == AttemptOutcome::kResponded;
@@ -119,30 +116,9 @@
  private:
   asio::io_context& Io() { return m_endpoint.Io(); }
 
-  HandlerContext MakeContext() {
-    HandlerContext context;
-    context.m_executor = Io().get_executor();
-    context.m_clock = &m_clock;
-    context.m_sink = this;
-    context.m_links = &m_links;
-    context.m_endpoints = &m_connections;
-    context.m_metrics = &m_metrics;
-    context.m_journal = &m_journal;
-    context.m_log = &m_log;
-    context.m_dialect = &m_dialect;
-    context.m_record_decisions = false;
-    return context;
-  }
-
   RawEndpoint m_endpoint;
   asio::io_context m_entry_io;
-  SteadyWallClock m_clock;
-  platform::PlatformDialect m_dialect;
-  LinkPool m_links;
-  EndpointConnectionPool m_connections;
-  NodeMetrics m_metrics;
-  Journal m_journal;
-  EventLog m_log;
+  HandlerDependencies m_dependencies;
   DispatchHandler m_handler;
   std::shared_ptr<Link> m_server;
   std::shared_ptr<Link> m_client;
--- a/unit_tests/endless_endpoint_test.cc
+++ b/unit_tests/endless_endpoint_test.cc
@@ -7,7 +7,7 @@
 
 #include "fescueramp/daemon/dispatch_handler.h"
 #include "fescueramp/daemon/wire.h"
-#include "platform/platform_dialect.h"
+#include "unit_tests/handler_dependencies.h"
 #include "unit_tests/raw_endpoint.h"
 
 namespace fescueramp {
@@ -30,11 +30,8 @@
   explicit DispatchToOneEndpoint(RawEndpoint& endpoint)
       : m_endpoint(endpoint),
         m_io(endpoint.Io()),
-        m_links(m_io.get_executor()),
-        m_connections(m_io.get_executor()),
-        m_journal(16),
-        m_log(m_io.get_executor(), m_clock, "n0", {0, 0}),
-        m_handler(MakeContext()) {
+        m_dependencies(m_io.get_executor()),
+        m_handler(m_dependencies.MakeContext(*this)) {
     tcp::acceptor acceptor(m_io, tcp::endpoint(asio::ip::address_v4::loopback(), 0));
     tcp::socket client(m_io);
     client.connect(acceptor.local_endpoint());
@@ -55,7 +52,7 @@
       start.m_address = "127.0.0.1";
       start.m_port = m_endpoint.Port();
       start.m_progress_timeout = std::chrono::hours(1);
-      start.m_deadline = m_clock.Now() + kAttemptTime;
+      start.m_deadline = m_dependencies.Now() + kAttemptTime;
       m_handler.Run(start);
     } else if (const auto* ended = std::get_if<AttemptEnded>(&event)) {
       m_result = ended->m_result;
@@ -91,30 +88,9 @@
   }
 
  private:
-  HandlerContext MakeContext() {
-    HandlerContext context;
-    context.m_executor = m_io.get_executor();
-    context.m_clock = &m_clock;
-    context.m_sink = this;
-    context.m_links = &m_links;
-    context.m_endpoints = &m_connections;
-    context.m_metrics = &m_metrics;
-    context.m_journal = &m_journal;
-    context.m_log = &m_log;
-    context.m_dialect = &m_dialect;
-    context.m_record_decisions = false;
-    return context;
-  }
-
   RawEndpoint& m_endpoint;
   asio::io_context& m_io;
-  SteadyWallClock m_clock;
-  platform::PlatformDialect m_dialect;
-  LinkPool m_links;
-  EndpointConnectionPool m_connections;
-  NodeMetrics m_metrics;
-  Journal m_journal;
-  EventLog m_log;
+  HandlerDependencies m_dependencies;
   DispatchHandler m_handler;
   std::shared_ptr<Link> m_server;
   std::shared_ptr<Link> m_client;
--- a/unit_tests/entry_handler_test.cc
+++ b/unit_tests/entry_handler_test.cc
@@ -7,7 +7,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "fescueramp/daemon/wire.h"
-#include "platform/platform_dialect.h"
+#include "unit_tests/handler_dependencies.h"
 
 namespace fescueramp {
 namespace {
@@ -24,11 +24,8 @@
   EntryWithOneCaller()
       : m_io(1),
         m_acceptor(m_io, {asio::ip::address_v4::loopback(), 0}),
-        m_links(m_io.get_executor()),
-        m_connections(m_io.get_executor()),
-        m_journal(16),
-        m_log(m_io.get_executor(), m_clock, "n0", {0, 0}),
-        m_entry(MakeContext()),
+        m_dependencies(m_io.get_executor()),
+        m_entry(m_dependencies.MakeContext(*this)),
         m_server(
             m_io.get_executor(), {},
             [this](std::shared_ptr<HttpExchange> exchange) { return m_entry.Handle(std::move(exchange)); }),
@@ -39,7 +36,7 @@
   }
 
   ~EntryWithOneCaller() override {
-    m_links.CloseAll();
+    m_dependencies.Links().CloseAll();
     if (m_dispatcher) m_dispatcher->Close();
     m_caller.close();
     RunPending();
@@ -53,7 +50,7 @@
       forward.m_address = "127.0.0.1";
       forward.m_port = m_acceptor.local_endpoint().port();
       forward.m_max_body_bytes = 1000;
-      forward.m_request.m_deadline = m_clock.Now() + std::chrono::hours(1);
+      forward.m_request.m_deadline = m_dependencies.Now() + std::chrono::hours(1);
       m_entry.Run(forward);
     } else if (const auto* ended = std::get_if<ForwardEnded>(&event)) {
       m_timed_out += ended->m_outcome == ForwardOutcome::kTimedOut ? 1 : 0;
@@ -117,31 +114,9 @@
     stream->Finish();
   }
 
-  HandlerContext MakeContext() {
-    HandlerContext context;
-    context.m_executor = m_io.get_executor();
-    context.m_clock = &m_clock;
-    context.m_sink = this;
-    context.m_links = &m_links;
-    context.m_endpoints = &m_connections;
-    context.m_metrics = &m_metrics;
-    context.m_journal = &m_journal;
-    context.m_log = &m_log;
-    context.m_dialect = &m_dialect;
-    context.m_link_keys = &m_keys;
-    return context;
-  }
-
   asio::io_context m_io;
   tcp::acceptor m_acceptor;
-  SteadyWallClock m_clock;
-  platform::PlatformDialect m_dialect;
-  std::vector<std::string> m_keys{"0123456789abcdef"};
-  LinkPool m_links;
-  EndpointConnectionPool m_connections;
-  NodeMetrics m_metrics;
-  Journal m_journal;
-  EventLog m_log;
+  HandlerDependencies m_dependencies;
   EntryHandler m_entry;
   HttpServer m_server;
   tcp::socket m_caller;
