--- a/fescueramp/net/unacknowledged_bytes.h
+++ b/fescueramp/net/unacknowledged_bytes.h
@@ -4,8 +4,8 @@
 
 namespace fescueramp {
 
-/// Number of bytes sent that the peer's system hasn't acknowledged; 0 if the system doesn't tell. The end of
-/// sending counts as one byte.
+/// Number of bytes sent that the peer's system hasn't acknowledged; 0 if that is unknown. The end of sending
+/// counts as one byte.
 std::size_t UnacknowledgedBytes(boost::asio::ip::tcp::socket& socket);
 
 }  // namespace fescueramp
--- a/unit_tests/node_stop_test.cc
+++ b/unit_tests/node_stop_test.cc
@@ -87,7 +87,7 @@
   return client;
 }
 
-/// A client of a node that reads only when told to.
+/// A client of a node that reads only in ReceivedToTheEnd.
 class SlowReader {
  public:
   explicit SlowReader(StoppingNode& node) : m_node(node), m_client(Connect(m_io, node.CallerPort())) {
@@ -124,7 +124,7 @@
   tcp::socket m_client;
 };
 
-/// Another node with a link to the node, which runs only when told to.
+/// Another node with a link to the node. It runs only in its own functions.
 class SlowPeer {
  public:
   explicit SlowPeer(StoppingNode& node)
