Send no body in responses to HEAD, nor a length with 204

Cause: ServerExchange wrote whatever it was given, for any method and status.

Change: ContentOfResponse decides by method and status whether a response has a body, a length or neither; ServerExchange follows it for whole and streamed responses, so handlers, administration and readiness port need no case of their own. Responses of endpoints with 204 and 304 that are relayed are covered too.

--- a/fescueramp/net/http_server.h
+++ b/fescueramp/net/http_server.h
@@ -29,11 +29,13 @@
   /// @throws RequestRefused when the body exceeds a limit, std::exception when the connection fails.
   virtual asio::awaitable<std::string> ReadBody() = 0;
 
-  /// Sends a complete response. When the request body has not been read, the connection closes afterwards.
+  /// Sends a complete response, without its body where the method or the status allows none. When the request
+  /// body has not been read, the connection closes afterwards.
   virtual asio::awaitable<void> Send(std::int64_t status, std::vector<HeaderField> headers,
                                      std::string body) = 0;
 
-  /// Sends a response head; the body follows. `content_length` is -1 when unknown.
+  /// Sends a response head; the body follows. `content_length` is -1 when unknown. Where the method or the
+  /// status allows no body, none is sent.
   virtual asio::awaitable<void> Begin(std::int64_t status, std::vector<HeaderField> headers,
                                       std::int64_t content_length) = 0;
 
--- a/fescueramp/net/server_exchange.cc
+++ b/fescueramp/net/server_exchange.cc
@@ -1,6 +1,7 @@
 #include "fescueramp/net/server_exchange.h"
 
 #include "fescueramp/net/body_parser.h"
+#include "fescueramp/net/response_content.h"
 
 namespace fescueramp {
 namespace {
@@ -118,8 +119,9 @@
   co_await WaitForTurn();
   http::response<http::string_body> response;
   SetHead(response, status, headers);
-  response.body() = std::move(body);
-  response.content_length(response.body().size());
+  const ResponseContent content = ContentOfResponse(m_head.m_method, status);
+  if (content != ResponseContent::kNothing) response.content_length(body.size());
+  if (content == ResponseContent::kBody) response.body() = std::move(body);
   m_connection->m_stream.expires_after(m_connection->m_settings.m_body_timeout);
   beast::error_code ec;
   ++m_connection->m_pending_writes;
@@ -133,9 +135,11 @@
                                             std::int64_t content_length) {
   co_await WaitForTurn();
   SetHead(m_response, status, headers);
-  if (content_length >= 0)
+  const ResponseContent content = ContentOfResponse(m_head.m_method, status);
+  m_omits_body = content != ResponseContent::kBody;
+  if (content_length >= 0 && content != ResponseContent::kNothing)
     m_response.content_length(static_cast<std::uint64_t>(content_length));
-  else
+  else if (!m_omits_body)
     m_response.chunked(true);
   m_response.body().data = nullptr;
   m_response.body().more = true;
@@ -145,6 +149,7 @@
 }
 
 asio::awaitable<void> ServerExchange::Write(std::string data) {
+  if (m_omits_body) co_return;
   m_response.body().data = data.data();
   m_response.body().size = data.size();
   m_response.body().more = true;
@@ -155,7 +160,7 @@
   m_response.body().data = nullptr;
   m_response.body().size = 0;
   m_response.body().more = false;
-  co_await WriteSome();
+  if (!m_omits_body) co_await WriteSome();
   FinishResponse();
 }
 
--- a/fescueramp/net/server_exchange.h
+++ b/fescueramp/net/server_exchange.h
@@ -71,6 +71,7 @@
   bool m_keep_alive = true;
   bool m_close_announced = false;
   bool m_response_begun = false;
+  bool m_omits_body = false;  ///< Whether the response that has begun has no body.
   bool m_response_sent = false;
   bool m_handler_finished = false;
   bool m_client_closed = false;
