Refuse a malformed HEAD request without a body

The refusal of a request whose head can't be accepted carried its JSON text also if the method was HEAD: bytes that are no response, in front of the close.

Cause: RejectRequest builds its response apart from ServerExchange, and didn't look at the method. The method is kept with the result of reading the head; it is empty, and the body stays, if the request line itself can't be read.

Measured: response_framing/RefusalOfAMalformedHeadRequestHasNoBody failed in 3 of 3 rows before, passes now.

--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -10,6 +10,7 @@
 
 #include "fescueramp/net/client_bytes.h"
 #include "fescueramp/net/read_deadline.h"
+#include "fescueramp/net/response_content.h"
 #include "fescueramp/net/server_exchange.h"
 #include "fescueramp/net/unacknowledged_bytes.h"
 
@@ -231,6 +232,8 @@
   } else if (!ec) {
     result.m_problem = FindAmbiguity(*parser);
   }
+  // Empty if the request line couldn't be read.
+  result.m_method = std::string(parser->get().method_string());
   const bool too_large = ec == http::error::header_limit;
   if (too_large) m_summary.m_exceeded_limit = ExceededLimit::kHead;
   result.m_status = too_large ? kHeaderTooLarge : kBadRequest;
@@ -301,9 +304,11 @@
   response.result(static_cast<unsigned>(result.m_status));
   response.keep_alive(false);
   response.set(http::field::content_type, "application/json");
-  if (m_settings.m_malformed_request_body)
-    response.body() = m_settings.m_malformed_request_body(result.m_problem);
-  response.prepare_payload();
+  std::string body;
+  if (m_settings.m_malformed_request_body) body = m_settings.m_malformed_request_body(result.m_problem);
+  response.content_length(body.size());
+  if (ContentOfResponse(result.m_method, result.m_status) == ResponseContent::kBody)
+    response.body() = std::move(body);
   m_stream.expires_after(m_settings.m_body_timeout);
   beast::error_code ec;
   co_await http::async_write(m_stream, response, asio::redirect_error(asio::use_awaitable, ec));
--- a/fescueramp/net/server_connection.h
+++ b/fescueramp/net/server_connection.h
@@ -59,6 +59,7 @@
   /// Outcome of reading a request head.
   struct HeaderResult {
     boost::beast::error_code m_error;
+    std::string m_method;
     std::string m_problem;      ///< Why the request is refused; empty if accepted.
     std::int64_t m_status = 0;  ///< HTTP status of the refusal.
   };
--- a/unit_tests/response_framing_test.cc
+++ b/unit_tests/response_framing_test.cc
@@ -67,9 +67,9 @@
 class CaseServer {
  public:
   explicit CaseServer(const FramingCase& row)
-      : m_row(row),
-        m_io(1),
-        m_server(m_io.get_executor(), {}, [this](auto exchange) { return Respond(std::move(exchange)); }) {}
+      : m_row(row), m_io(1), m_server(m_io.get_executor(), Settings(), [this](auto exchange) {
+          return Respond(std::move(exchange));
+        }) {}
 
   /// Sends bytes, shuts down sending and returns everything received.
   std::string Send(const std::string& bytes) {
@@ -80,6 +80,12 @@
   }
 
  private:
+  static HttpServerSettings Settings() {
+    HttpServerSettings settings;
+    settings.m_malformed_request_body = [](const std::string& problem) { return "malformed: " + problem; };
+    return settings;
+  }
+
   asio::awaitable<void> Respond(std::shared_ptr<HttpExchange> exchange) {
     std::vector<HeaderField> none;
     if (exchange->Head().m_target == kNextTarget) {
@@ -130,6 +136,16 @@
   BOOST_TEST(rest.ends_with(kEndOfHead + kNextBody));
 }
 
+const char* const kMalformedHeads[] = {"Host: a\r\nHost: b", "Host: a\r\nContent-Length: x", "Host : a"};
+
+BOOST_DATA_TEST_CASE(RefusalOfAMalformedHeadRequestHasNoBody, boost::unit_test::data::make(kMalformedHeads),
+                     fields) {
+  CaseServer server(kFramingCases[0]);
+  const std::string received = server.Send("HEAD / HTTP/1.1\r\n" + std::string(fields) + kEndOfHead);
+  BOOST_TEST(received.starts_with("HTTP/1.1 400"));
+  BOOST_TEST(received.ends_with(kEndOfHead), received);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
