Relay the length that an endpoint names in a response to HEAD

Callers of HEAD were told Content-Length: 0 for whatever an endpoint has, and got the same with 304.

Cause: the entry host strips the endpoint's framing fields and sends the body that it received, which is empty, with a length of its own. A response that has no body is now sent with the length of the endpoint's head, or without any if the endpoint named none.

Measured: entry_handler/ResponseToHeadKeepsTheLengthThatTheEndpointNamed failed before, passes now.

--- a/fescueramp/daemon/entry_handler.cc
+++ b/fescueramp/daemon/entry_handler.cc
@@ -9,6 +9,7 @@
 #include "fescueramp/core/hash.h"
 #include "fescueramp/daemon/wire.h"
 #include "fescueramp/dispatch/retry_after_delay.h"
+#include "fescueramp/net/response_content.h"
 
 namespace fescueramp {
 namespace {
@@ -332,12 +333,15 @@
   m_context.m_metrics->RecordResponse("OK");
   call->m_result = "OK";
   call->m_status = head.m_status;
-  if (complete) {
+  // Where a response has no body, its length is the one that the endpoint named.
+  const bool has_body =
+      ContentOfResponse(call->m_exchange->Head().m_method, head.m_status) == ResponseContent::kBody;
+  if (complete && has_body) {
     co_await call->m_exchange->Send(head.m_status, std::move(headers), std::move(body));
     co_return ForwardOutcome::kResponded;
   }
   co_await call->m_exchange->Begin(head.m_status, std::move(headers), head.m_content_length);
-  while (!body.empty()) {
+  while (!complete && !body.empty()) {
     co_await call->m_exchange->Write(std::move(body));
     body = co_await stream->Read();
     charge.Resize(body.size());
--- a/unit_tests/entry_handler_test.cc
+++ b/unit_tests/entry_handler_test.cc
@@ -18,6 +18,7 @@
 constexpr std::size_t kLongBodyBytes = 16 * 1024 * kKilobyte;
 const std::string kLongTarget = "/long";  ///< Target with a long response.
 const std::string kHeldTarget = "/held";  ///< Target that the dispatcher doesn't respond to.
+const std::string kHeadLength = "1234";   ///< Length that the endpoint names in its responses to HEAD.
 
 std::string Get(const std::string& target) { return "GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n"; }
 
@@ -128,7 +129,9 @@
     ResponseHead head;
     head.m_status = 200;
     head.m_code = static_cast<std::int64_t>(ResultCode::kOk);
+    if (request.m_method == "HEAD") head.m_content_length = std::stoll(kHeadLength);
     stream->SendHeaders({{":status", "200"}, wire::MakeJsonField(wire::kResponseField, head)});
+    if (request.m_method == "HEAD") co_return stream->Finish();
     std::string body = "body of " + request.m_target;
     co_await stream->Write(std::move(body));
     while (request.m_target == kLongTarget && m_sent < kLongBodyBytes) {
@@ -167,6 +170,19 @@
   BOOST_TEST(node.Entry().RequestsInProgress() == 0U);
 }
 
+// Guards against a caller of HEAD that is told a length of 0.
+BOOST_AUTO_TEST_CASE(ResponseToHeadKeepsTheLengthThatTheEndpointNamed) {
+  EntryWithOneCaller node;
+  node.Send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n");
+  const std::string received = node.NewlyReceived();
+  BOOST_TEST(received.starts_with("HTTP/1.1 200"));
+  BOOST_TEST(received.find("\r\nContent-Length: " + kHeadLength + "\r\n") != std::string::npos, received);
+  BOOST_TEST(received.ends_with("\r\n\r\n"));
+  node.Send(Get("/2"));
+  BOOST_TEST(node.NewlyReceived().ends_with("body of /2"));
+  BOOST_TEST(node.Entry().RequestsInProgress() == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ExhaustedBudgetRefusesAtOnceAndServesAgainAfterwards) {
   constexpr std::size_t kBudget = 1024 * kKilobyte;
   EntryWithOneCaller node(kBudget);
