Refuse CONNECT

CONNECT with a path in place of an authority was passed on to endpoints. Behind a response with a 2xx status such a connection is a tunnel (RFC 9110, 9.3.6): the client reads no body and no length, and both were sent.

Cause: FindAmbiguity checked the target, not the method.

Measured: row "CONNECT with a path" of http/OnlyUnambiguousRequestsAreAccepted failed before, passes now.

--- a/fescueramp/net/server_connection.cc
+++ b/fescueramp/net/server_connection.cc
@@ -55,6 +55,8 @@
   if (codings == 1 && message.version() == 10) return "Transfer-Encoding in HTTP/1.0";
   const std::size_t hosts = message.count(http::field::host);
   if (hosts > 1 || (hosts == 0 && message.version() == 11)) return "not one Host";
+  // A response to CONNECT with a 2xx status would have no body and open a tunnel.
+  if (message.method() == http::verb::connect) return "CONNECT is not supported";
   if (message.target().empty() || message.target().front() != '/') return "the target does not begin with /";
   return {};
 }
--- a/unit_tests/http_test.cc
+++ b/unit_tests/http_test.cc
@@ -128,6 +128,7 @@
     {"HTTP/2.0 in the request line", "GET / HTTP/2.0\r\nHost: a\r\n\r\n", false},
     {"absolute target", "GET http://b/ HTTP/1.1\r\nHost: a\r\n\r\n", false},
     {"target without a slash", "GET status HTTP/1.1\r\nHost: a\r\n\r\n", false},
+    {"CONNECT with a path", "CONNECT /a HTTP/1.1\r\nHost: a\r\n\r\n", false},
     {"large header", "GET / HTTP/1.1\r\nHost: a\r\nX: " + std::string(20'000, 'x') + "\r\n\r\n", false},
     {"half a header", "GET / HTTP/1.1\r\nHost:", false},
     {"half a body", "POST / HTTP/1.1\r\nHost: a\r\nContent-Length: 10\r\n\r\nabc", false},
