Wait for a current list of endpoints before dispatching again

Cause: a node watches the list only while it dispatches, but the reducer kept the last list for ever and gave it to each new dispatcher. Ruled out by the trace in docs/incidents/2026-12-07-old-endpoint-list.md: a watch that is behind, sends of the stopped dispatcher, requests that were queued before the report.

Change: EndpointList knows whether the list came since the watch began. Requests wait for the first read of the new watch, which begins with the first request instead of the next tick. If the read is late or fails, they are handed back to up to two other nodes; only then, and only if the store can't be read, the old list is used (docs/design/endpoint_list.md). PlatformControl reads the list at each start of a watch, reports a failed read, and drops late responses of an earlier watch, which are the same fault in another place.

Two tests looked for the start of the watch in the tick behind a request; they now ask for it in the effects of the request itself, which is stricter.

--- a/fescueramp/daemon/control_plane.h
+++ b/fescueramp/daemon/control_plane.h
@@ -32,7 +32,8 @@
   /// Reads the current revision from another node and posts it, under the same conditions as LoadFromStore.
   virtual asio::awaitable<bool> LoadFromNode(FetchConfiguration fetch) = 0;
 
-  /// Starts or stops watching the configuration and the lists of endpoints, according to the scope.
+  /// Starts or stops watching the configuration and the lists of endpoints, according to the scope. Each
+  /// start reads the list of endpoints anew; nothing of an earlier watch is posted afterwards.
   virtual void SetWatchScope(const WatchScope& scope) = 0;
 
   /// Value that other nodes may fetch from this node under `name`; empty if there is none.
--- a/fescueramp/daemon/node_daemon.cc
+++ b/fescueramp/daemon/node_daemon.cc
@@ -445,6 +445,11 @@
   m_control->SetWatchScope(effect.m_scope);
 }
 
+void NodeDaemon::RunEffect(const ReportEndpointList& effect) {
+  m_log.WriteUnthrottled("endpoint_list",
+                         {{"state", EnumName(effect.m_state)}, {"version", effect.m_version}});
+}
+
 void NodeDaemon::RunEffect(const ShutdownComplete&) { asio::co_spawn(m_io, StopWhenIdle(), asio::detached); }
 
 asio::awaitable<void> NodeDaemon::StopWhenIdle() {
--- a/fescueramp/daemon/node_daemon.h
+++ b/fescueramp/daemon/node_daemon.h
@@ -61,6 +61,7 @@
   void RunEffect(const FetchConfiguration& effect);
   void RunEffect(const ReportConfiguration& effect);
   void RunEffect(const SetWatchScope& effect);
+  void RunEffect(const ReportEndpointList& effect);
   void RunEffect(const ShutdownComplete& effect);
 
   asio::awaitable<void> RunStoreOperation(StoreEffect operation);
--- a/fescueramp/node/effects.h
+++ b/fescueramp/node/effects.h
@@ -7,6 +7,7 @@
 #include "fescueramp/core/json_codec.h"
 #include "fescueramp/dispatch/dispatch_types.h"
 #include "fescueramp/membership/member.h"
+#include "fescueramp/node/endpoint_list.h"
 #include "fescueramp/quota/quota_report.h"
 #include "fescueramp/store/store_types.h"
 
@@ -84,16 +85,25 @@
 };
 BOOST_DESCRIBE_STRUCT(SetWatchScope, (), (m_scope))
 
+/// Reports that the node may use its list of endpoints differently from now on.
+struct ReportEndpointList {
+  static constexpr const char* kType = "report_endpoint_list";
+  EndpointListState m_state = EndpointListState::kNone;
+  std::int64_t m_version = 0;  ///< Store version of the list; 0 without one.
+};
+BOOST_DESCRIBE_STRUCT(ReportEndpointList, (), (m_state, m_version))
+
 /// Reports that no requests or claims are pending any more, so that the node can exit.
 struct ShutdownComplete {
   static constexpr const char* kType = "shutdown_complete";
 };
 BOOST_DESCRIBE_STRUCT(ShutdownComplete, (), ())
 
-using Effect = std::variant<ForwardRequest, RefuseRequest, RelayRequest, StartAttempt, FinishRequest,
-                            DeliverResponse, CancelAttempt, ReportHealth, ReportConstraint, ReportQuarantine,
-                            SendGossip, ReportMember, StoreGet, StorePut, StoreDelete, FetchConfiguration,
-                            ReportConfiguration, SetWatchScope, ShutdownComplete, ReportQuota>;
+using Effect =
+    std::variant<ForwardRequest, RefuseRequest, RelayRequest, StartAttempt, FinishRequest, DeliverResponse,
+                 CancelAttempt, ReportHealth, ReportConstraint, ReportQuarantine, SendGossip, ReportMember,
+                 StoreGet, StorePut, StoreDelete, FetchConfiguration, ReportConfiguration, SetWatchScope,
+                 ShutdownComplete, ReportQuota, ReportEndpointList>;
 using Effects = std::vector<Effect>;
 
 }  // namespace fescueramp
--- a/fescueramp/node/events.h
+++ b/fescueramp/node/events.h
@@ -146,6 +146,12 @@
 };
 BOOST_DESCRIBE_STRUCT(EndpointsListed, (), (m_version, m_endpoints))
 
+/// Reading the list of endpoints has failed; it will be tried again.
+struct EndpointListFailed {
+  static constexpr const char* kType = "endpoint_list_failed";
+};
+BOOST_DESCRIBE_STRUCT(EndpointListFailed, (), ())
+
 /// Other nodes have been found in the store.
 struct NodesFound {
   static constexpr const char* kType = "nodes_found";
@@ -165,9 +171,9 @@
 };
 BOOST_DESCRIBE_STRUCT(CallerPortClosed, (), ())
 
-using Event =
-    std::variant<Tick, RequestReceived, ForwardEnded, DispatchArrived, DispatchCancelled, RelayFailed,
-                 AttemptEnded, GossipReceived, StoreResponded, ConfigurationLoaded, ConfigurationFailed,
-                 HostsListed, EndpointsListed, NodesFound, ShutdownRequested, CallerPortClosed>;
+using Event = std::variant<Tick, RequestReceived, ForwardEnded, DispatchArrived, DispatchCancelled,
+                           RelayFailed, AttemptEnded, GossipReceived, StoreResponded, ConfigurationLoaded,
+                           ConfigurationFailed, HostsListed, EndpointsListed, EndpointListFailed, NodesFound,
+                           ShutdownRequested, CallerPortClosed>;
 
 }  // namespace fescueramp
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -1,6 +1,7 @@
 #include "fescueramp/node/node_reducer.h"
 
 #include <algorithm>
+#include <limits>
 
 #include "fescueramp/config/object_set.h"
 #include "fescueramp/dispatch/baseline_dispatcher.h"
@@ -23,6 +24,7 @@
 constexpr int kDiscoveryRetransmitFactor = 1;
 /// Time allowed for reading the list of endpoints.
 constexpr Duration kEndpointListTimeout = std::chrono::milliseconds(250);
+constexpr std::int64_t kAnyForwards = std::numeric_limits<std::int64_t>::max();
 /// Time allowed for nodes to find one another.
 constexpr Duration kWatchStartDelay = std::chrono::milliseconds(1500);
 /// Time between two announcements of constraints; a third of the time for which an announcement counts.
@@ -167,8 +169,10 @@
   if (m_table && HasOutdatedSplit(request)) return FinishRedirected(request);
   Dispatcher* dispatcher = FindOrCreateDispatcher(PartOf(request), now);
   if (!dispatcher || m_leaving) return FinishUnstarted(request, ResultCode::kNotReady);
-  const bool hands_back = request.m_forwards <= kMaxHandBacks && m_membership.OwnerCandidates().size() > 1 &&
-                          dispatcher->PathsFailing(now);
+  const bool hands_back = (request.m_forwards <= kMaxHandBacks && m_membership.OwnerCandidates().size() > 1 &&
+                           dispatcher->PathsFailing(now)) ||
+                          (request.m_forwards <= MaxForwardsToHandBack() &&
+                           m_endpoint_list.State() == EndpointListState::kLastKnown);
   if (hands_back) return FinishUnstarted(request, ResultCode::kNotReady);
   if (TakeQuota(request, now)) StartAccepted(request, now);
 }
@@ -214,7 +218,7 @@
 
 bool NodeReducer::HasOutdatedSplit(const DispatchRequest& request) {
   // A request that another dispatcher handed back is not redirected.
-  if (request.m_forwards > 1 || m_live_endpoints_version == 0) return false;
+  if (request.m_forwards > 1 || !m_endpoint_list.Usable()) return false;
   const SplitView view = CurrentSplitView(request.m_service);
   // An entry host with a newer split made the better choice. One with an older split may not know of a new
   // part, whose endpoints would then get no work.
@@ -222,26 +226,27 @@
 }
 
 SplitView NodeReducer::CurrentSplitView(const std::string& service) {
-  return {m_live_endpoints_version, CurrentSplit(service).Zones()};
+  return {m_endpoint_list.Version(), CurrentSplit(service).Zones()};
 }
 
 const ServiceSplit& NodeReducer::CurrentSplit(const std::string& service) {
   CachedSplit& cached = m_splits[service];
-  if (cached.m_list_generation == m_list_generation && cached.m_revision == Revision()) return cached.m_split;
-  cached.m_list_generation = m_list_generation;
+  const std::int64_t generation = m_endpoint_list.Generation();
+  if (cached.m_list_generation == generation && cached.m_revision == Revision()) return cached.m_split;
+  cached.m_list_generation = generation;
   cached.m_revision = Revision();
   const auto object = m_table->Set().m_services.find(service);
   const bool exists = object != m_table->Set().m_services.end();
-  cached.m_split.Update(m_live_endpoints, service, exists ? object->second.m_part_endpoints : 0);
+  cached.m_split.Update(m_endpoint_list.Endpoints(), service, exists ? object->second.m_part_endpoints : 0);
   return cached.m_split;
 }
 
 void NodeReducer::UpdateEndpoints(const OpenPart& open, Dispatcher& dispatcher, Instant now,
                                   DispatchEffects& out) {
-  if (m_live_endpoints_version == 0) return;
+  if (!m_endpoint_list.Usable()) return;
   const ServiceSplit& split = CurrentSplit(open.m_part.m_service);
   const auto parts = std::max<std::int64_t>(1, std::ssize(split.Zones()));
-  dispatcher.SetLiveEndpoints(split.EndpointsOf(open.m_part, m_live_endpoints), parts, now, out);
+  dispatcher.SetLiveEndpoints(split.EndpointsOf(open.m_part, m_endpoint_list.Endpoints()), parts, now, out);
 }
 
 void NodeReducer::FinishRedirected(const DispatchRequest& request) {
@@ -282,6 +287,8 @@
     UpdateEndpoints(open, *dispatcher, now, out);
     for (const auto& endpoint : m_membership.LeavingEndpoints())
       dispatcher->SetLeaving(endpoint, true, now, out);
+    // Requests wait for the list of endpoints, so the watch doesn't wait for the next tick.
+    if (m_settings.m_discovery) UpdateWatching(now);
   }
   return dispatcher.get();
 }
@@ -546,10 +553,13 @@
 }
 
 void NodeReducer::Handle(const EndpointsListed& event, Instant now) {
-  if (event.m_version < m_live_endpoints_version) return;
-  m_live_endpoints_version = event.m_version;
-  ++m_list_generation;
-  m_live_endpoints = event.m_endpoints;
+  const EndpointListState previous = m_endpoint_list.State();
+  if (!m_endpoint_list.Set(event.m_version, event.m_endpoints)) return;
+  if (m_endpoint_list.State() != previous) ReportEndpointListState();
+  ApplyEndpointList(now);
+}
+
+void NodeReducer::ApplyEndpointList(Instant now) {
   for (auto& [name, dispatcher] : m_dispatchers) {
     DispatchEffects out;
     UpdateEndpoints(m_parts.at(name), *dispatcher, now, out);
@@ -557,6 +567,15 @@
   }
 }
 
+void NodeReducer::Handle(const EndpointListFailed&, Instant now) {
+  m_endpoint_list.HandleReadFailure();
+  ReleaseQueuesWithoutEndpoints(now);
+}
+
+void NodeReducer::ReportEndpointListState() {
+  m_effects.emplace_back(ReportEndpointList{m_endpoint_list.State(), m_endpoint_list.Version()});
+}
+
 void NodeReducer::Handle(const NodesFound& event, Instant now) {
   m_membership.AddDiscovered(event.m_members, now);
   m_discovery_done = true;
@@ -568,7 +587,7 @@
   m_membership.Leave(MemberState::kLeaving, now);
   for (const auto& request : m_quotas.ReleaseWaiting()) FinishUnstarted(request, ResultCode::kNotReady);
   for (auto& [service, dispatcher] : m_dispatchers) {
-    for (const auto& request : dispatcher->ReleaseQueue()) {
+    for (const auto& request : dispatcher->ReleaseQueue(kAnyForwards)) {
       m_part_by_request.erase(request.m_request_id);
       FinishUnstarted(request, ResultCode::kNotReady);
     }
@@ -627,14 +646,27 @@
 }
 
 void NodeReducer::ReleaseQueuesWithoutEndpoints(Instant now) {
-  if (m_live_endpoints_version > 0 || m_membership.OwnerCandidates().size() <= 1) return;
+  if (m_endpoint_list.Usable()) return;
+  const bool unreplaceable = m_endpoint_list.Unreplaceable();
+  const bool has_list = m_endpoint_list.State() == EndpointListState::kOutdated;
+  const bool alone = m_membership.OwnerCandidates().size() <= 1;
+  const std::int64_t max_forwards = has_list ? MaxForwardsToHandBack() : kAnyForwards;
   for (auto& [name, dispatcher] : m_dispatchers) {
-    if (now - m_parts.at(name).m_opened < kEndpointListTimeout) continue;
-    for (const auto& request : dispatcher->ReleaseQueue()) {
+    const bool waits = now - m_parts.at(name).m_opened < kEndpointListTimeout && !unreplaceable;
+    if (waits || alone) continue;
+    for (const auto& request : dispatcher->ReleaseQueue(max_forwards)) {
       m_part_by_request.erase(request.m_request_id);
       FinishUnstarted(request, ResultCode::kNotReady);
     }
   }
+  if (!unreplaceable) return;
+  m_endpoint_list.UseLastKnown();
+  ReportEndpointListState();
+  ApplyEndpointList(now);
+}
+
+std::int64_t NodeReducer::MaxForwardsToHandBack() const {
+  return std::min(kMaxHandBacks, std::ssize(m_membership.OwnerCandidates()) - 1);
 }
 
 bool NodeReducer::IsWatcher() const {
@@ -660,6 +692,7 @@
   scope.m_configuration = dispatches || isolated || IsWatcher();
   scope.m_endpoints = m_settings.m_discovery ? dispatches : scope.m_configuration;
   if (scope == m_watching) return;
+  if (m_watching.m_endpoints && !scope.m_endpoints) m_endpoint_list.HandleWatchEnd();
   m_watching = scope;
   m_effects.emplace_back(SetWatchScope{scope});
 }
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -13,6 +13,7 @@
 #include "fescueramp/dispatch/endpoint_constraints.h"
 #include "fescueramp/membership/membership.h"
 #include "fescueramp/node/effects.h"
+#include "fescueramp/node/endpoint_list.h"
 #include "fescueramp/node/entry_requests.h"
 #include "fescueramp/node/events.h"
 #include "fescueramp/node/fleet_quotas.h"
@@ -114,6 +115,7 @@
   void Handle(const ConfigurationFailed& event, Instant now);
   void Handle(const HostsListed& event, Instant now);
   void Handle(const EndpointsListed& event, Instant now);
+  void Handle(const EndpointListFailed& event, Instant now);
   void Handle(const NodesFound& event, Instant now);
   void Handle(const ShutdownRequested& event, Instant now);
   void Handle(const CallerPortClosed& event, Instant now);
@@ -143,7 +145,7 @@
   void FinishRedirected(const DispatchRequest& request);
   void CloseDispatchersIf(
       const std::function<bool(const OpenPart& open, const Dispatcher& dispatcher)>& should_close);
-  /// Passes the live endpoints of a part to its dispatcher.
+  /// Passes the live endpoints of a part to its dispatcher, if the list may be used.
   void UpdateEndpoints(const OpenPart& open, Dispatcher& dispatcher, Instant now, DispatchEffects& out);
   ClaimLog& FindOrCreateClaimLog(const std::string& service);
   void ApplyDispatchEffects(DispatchEffects effects, Instant now);
@@ -174,10 +176,17 @@
   /// request.
   void OpenOwnedDispatchers(Instant now);
 
-  /// Hands queued requests back while this node has no list of endpoints, for example because it can't reach
-  /// the store.
+  /// Passes the live endpoints to all dispatchers.
+  void ApplyEndpointList(Instant now);
+
+  /// Hands queued requests back while this node has no list of endpoints that it may use, for example because
+  /// it can't reach the store. Uses an outdated list for those that other nodes have handed back too.
   void ReleaseQueuesWithoutEndpoints(Instant now);
 
+  /// Highest number of forwards of a request that is handed back: at least one other node hasn't had it.
+  std::int64_t MaxForwardsToHandBack() const;
+  void ReportEndpointListState();
+
   /// Removes the dispatchers of parts that other nodes own once they have been idle for a while.
   void CloseUnusedDispatchers(Instant now);
   bool IsWatcher() const;
@@ -208,9 +217,7 @@
   /// Incarnation of each node in its last datagram, and the time of the first one with it.
   std::unordered_map<std::string, std::pair<std::int64_t, Instant>> m_heard_nodes;
   std::int64_t m_informed_candidates_version = -1;  ///< Owner candidates that were sent crash records.
-  std::vector<LiveEndpoint> m_live_endpoints;
-  std::int64_t m_live_endpoints_version = 0;
-  std::int64_t m_list_generation = 0;  ///< Number of endpoint lists accepted.
+  EndpointList m_endpoint_list;
   std::int64_t m_store_operations = 0;
   std::map<std::string, OpenPart> m_parts;      ///< By name of the part.
   std::map<std::string, CachedSplit> m_splits;  ///< By service.
--- a/unit_tests/discovery_test.cc
+++ b/unit_tests/discovery_test.cc
@@ -162,11 +162,11 @@
 }
 
 /// Runs a node while all other members confirm that they are alive. Returns the watch scopes that it set.
-std::vector<SetWatchScope> RunAmongLiveMembers(DiscoveryNode& node, Duration span) {
+std::vector<SetWatchScope> RunAmongLiveMembers(DiscoveryNode& node, Duration span, int others = 6) {
   std::vector<SetWatchScope> scopes;
   for (const Instant end = node.Now() + span; node.Now() < end;) {
     for (auto& scope : node.Run<SetWatchScope>(milliseconds(50))) scopes.push_back(scope);
-    for (int i = 1; i <= 6; ++i) {
+    for (int i = 1; i <= others; ++i) {
       GossipMessage message;
       message.m_kind = GossipKind::kAck;
       message.m_from = DiscoveryNode::Node(i).m_node;
@@ -184,8 +184,8 @@
   // not be used again: its endpoints may have left since.
   DiscoveryNode node(6);
   BOOST_REQUIRE(node.Reducer().OwnerOf("work") != "n0");
-  node.Post(DispatchArrived{MakeFilingRequest("x-1", node.Now(), 2), 0});
-  BOOST_REQUIRE(!RunAmongLiveMembers(node, milliseconds(100)).empty());
+  const Effects arrived = node.Post(DispatchArrived{MakeFilingRequest("x-1", node.Now(), 2), 0});
+  BOOST_REQUIRE(!DiscoveryNode::Select<SetWatchScope>(arrived).empty());
   node.Post(EndpointsListed{1, {MakeLiveEndpoint("i-1")}});
   node.Post(
       AttemptEnded{AttemptResult{"x-1", "work", 1, AttemptOutcome::kResponded, 200, milliseconds(150)}});
@@ -201,6 +201,79 @@
   BOOST_TEST(restarted[0].m_endpoint == "i-2");
 }
 
+/// Makes a node that had a list of endpoints, "i-1" among them, and has stopped watching it.
+void StopWatching(DiscoveryNode& node, int others = 6) {
+  node.Post(DispatchArrived{MakeFilingRequest("x-1", node.Now(), 2), 0});
+  node.Post(EndpointsListed{1, {MakeLiveEndpoint("i-1")}});
+  node.Post(
+      AttemptEnded{AttemptResult{"x-1", "work", 1, AttemptOutcome::kResponded, 200, milliseconds(150)}});
+  const auto scopes = RunAmongLiveMembers(node, seconds(8), others);
+  BOOST_REQUIRE(!scopes.empty());
+  BOOST_REQUIRE(!scopes.back().m_scope.m_endpoints);
+}
+
+/// A request to a node whose list of endpoints is outdated, and what becomes of it within 0.5 s.
+struct OutdatedListCase {
+  const char* m_name;
+  int m_others;             ///< Other nodes of the fleet.
+  std::int64_t m_forwards;  ///< Forwards of the request, this one included.
+  bool m_read_fails;        ///< Whether the store can't be read; else its response is late.
+  bool m_handed_back;
+  bool m_started;
+};
+
+std::ostream& operator<<(std::ostream& out, const OutdatedListCase& row) { return out << row.m_name; }
+
+const OutdatedListCase kOutdatedListCases[] = {
+    {"late response, first node", 6, 1, false, true, false},
+    {"late response, second node", 6, 2, false, true, false},
+    {"late response, third node", 6, 3, false, false, false},
+    {"unreadable store, first node", 6, 1, true, true, false},
+    {"unreadable store, third node", 6, 3, true, false, true},
+    {"unreadable store, second of two nodes", 1, 2, true, false, true},
+};
+
+// Guards against work on endpoints that have left while the node didn't watch, and against refusals of all
+// work when the store is away and outdated lists are all there is.
+BOOST_DATA_TEST_CASE(OutdatedListIsUsedOnlyWhenNoNodeCanReadAnother,
+                     boost::unit_test::data::make(kOutdatedListCases), row) {
+  DiscoveryNode node(row.m_others);
+  StopWatching(node, row.m_others);
+  std::vector<FinishRequest> finished;
+  std::vector<StartAttempt> started;
+  const auto collect = [&](const Effects& effects) {
+    for (auto& item : DiscoveryNode::Select<FinishRequest>(effects)) finished.push_back(std::move(item));
+    for (auto& item : DiscoveryNode::Select<StartAttempt>(effects)) started.push_back(std::move(item));
+  };
+  DispatchRequest request = MakeFilingRequest("x-2", node.Now(), row.m_forwards);
+  collect(node.Post(DispatchArrived{request, 1}));
+  BOOST_TEST(started.empty());
+  if (row.m_read_fails) collect(node.Post(EndpointListFailed{}));
+  for (auto& item : node.Run<FinishRequest>(milliseconds(500))) finished.push_back(std::move(item));
+  BOOST_REQUIRE(finished.size() == (row.m_handed_back ? 1U : 0U));
+  if (row.m_handed_back) BOOST_TEST(finished[0].m_code == static_cast<std::int64_t>(ResultCode::kNotReady));
+  BOOST_REQUIRE(started.size() == (row.m_started ? 1U : 0U));
+  if (row.m_started) BOOST_TEST(started[0].m_endpoint == "i-1");
+}
+
+// Guards against a node that keeps its outdated list in use when it could hand requests back, and when the
+// store can be read again.
+BOOST_AUTO_TEST_CASE(LastKnownListGivesWayToOtherNodesAndToACurrentList) {
+  DiscoveryNode node(6);
+  StopWatching(node);
+  node.Post(DispatchArrived{MakeFilingRequest("x-2", node.Now(), 3), 1});
+  BOOST_TEST(DiscoveryNode::Select<StartAttempt>(node.Post(EndpointListFailed{})).size() == 1U);
+  const Effects first = node.Post(DispatchArrived{MakeFilingRequest("x-3", node.Now(), 1), 1});
+  BOOST_REQUIRE(DiscoveryNode::Select<FinishRequest>(first).size() == 1U);
+  BOOST_TEST(DiscoveryNode::Select<FinishRequest>(first)[0].m_code ==
+             static_cast<std::int64_t>(ResultCode::kNotReady));
+  node.Post(EndpointsListed{2, {MakeLiveEndpoint("i-1", true), MakeLiveEndpoint("i-2")}});
+  const auto started = DiscoveryNode::Select<StartAttempt>(
+      node.Post(DispatchArrived{MakeFilingRequest("x-4", node.Now(), 1), 1}));
+  BOOST_REQUIRE(started.size() == 1U);
+  BOOST_TEST(started[0].m_endpoint == "i-2");
+}
+
 BOOST_AUTO_TEST_CASE(LeavingEndpointGetsNoNewWork) {
   DiscoveryNode node(3);
   node.Post(EndpointsListed{1, {MakeLiveEndpoint("i-1"), MakeLiveEndpoint("i-2")}});
@@ -311,8 +384,8 @@
 
 BOOST_AUTO_TEST_CASE(OnlyDispatchersWatchEndpoints) {
   DiscoveryNode node(3);
-  node.Post(DispatchArrived{MakeFilingRequest("x-1", node.Now(), 2), 0});
-  const auto watching = node.Run<SetWatchScope>(milliseconds(200));
+  const auto watching = DiscoveryNode::Select<SetWatchScope>(
+      node.Post(DispatchArrived{MakeFilingRequest("x-1", node.Now(), 2), 0}));
   BOOST_REQUIRE(!watching.empty());
   BOOST_TEST(watching.back().m_scope.m_endpoints);
 }
--- a/unit_tests/watching_node.cc
+++ b/unit_tests/watching_node.cc
@@ -44,7 +44,9 @@
     m_revision = loaded->m_revision;
     m_taken.push_back(m_revision);
   }
+  m_failed_reads += std::holds_alternative<EndpointListFailed>(event) ? 1 : 0;
   if (const auto* listed = std::get_if<EndpointsListed>(&event)) {
+    ++m_lists;
     // An older list never replaces a newer one.
     if (m_listed && listed->m_version < m_listed->m_version) return;
     m_listed = *listed;
--- a/unit_tests/watching_node.h
+++ b/unit_tests/watching_node.h
@@ -53,6 +53,12 @@
   /// Revisions that came into force, in order.
   const std::vector<std::int64_t>& RevisionsTaken() const { return m_taken; }
 
+  /// Lists of endpoints posted so far.
+  int Lists() const { return m_lists; }
+
+  /// Failed reads of the list of endpoints posted so far.
+  int FailedReads() const { return m_failed_reads; }
+
   /// Whether the endpoint is listed, and as leaving.
   bool Listed(const std::string& name, bool leaving) const;
 
@@ -66,6 +72,8 @@
   std::int64_t m_revision = 0;
   std::vector<std::int64_t> m_taken;
   std::optional<EndpointsListed> m_listed;
+  int m_lists = 0;
+  int m_failed_reads = 0;
   std::unique_ptr<PlatformControl> m_control;
 };
 
