Use an outdated list of endpoints only if the store is away for 3 s

Change: the old list is used once all reads of the new watch have failed for 3 s. Until then all requests are handed back after 250 ms, as by a node that has no list. ReleaseQueue needs no limit of forwards any more.

--- a/fescueramp/dispatch/baseline_dispatcher.h
+++ b/fescueramp/dispatch/baseline_dispatcher.h
@@ -25,7 +25,7 @@
   void Tick(Instant now, DispatchEffects& out) override;
   void HandlePause(Instant) override {}
   void SetLeaving(const std::string& endpoint, bool leaving, Instant now, DispatchEffects& out) override;
-  std::vector<DispatchRequest> ReleaseQueue(std::int64_t) override { return {}; }
+  std::vector<DispatchRequest> ReleaseQueue() override { return {}; }
   DispatcherLoad Load(Instant now) const override;
   std::vector<EndpointStatus> Endpoints(Instant now) const override;
   std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant) const override { return {}; }
--- a/fescueramp/dispatch/dispatcher.h
+++ b/fescueramp/dispatch/dispatcher.h
@@ -99,9 +99,9 @@
   /// Marks an endpoint as leaving or staying, as listed by the platform.
   virtual void SetLeaving(const std::string& endpoint, bool leaving, Instant now, DispatchEffects& out) = 0;
 
-  /// Removes and returns queued requests that never ran and have been forwarded at most `max_forwards` times,
-  /// so that another node can take them. Requests with a claim stay, as the claims belong to this node.
-  virtual std::vector<DispatchRequest> ReleaseQueue(std::int64_t max_forwards) = 0;
+  /// Removes and returns queued requests that never ran, so that another node can take them. Requests with a
+  /// claim stay, as the claims belong to this node.
+  virtual std::vector<DispatchRequest> ReleaseQueue() = 0;
 
   /// Returns the current load.
   virtual DispatcherLoad Load(Instant now) const = 0;
--- a/fescueramp/dispatch/fair_dispatcher.h
+++ b/fescueramp/dispatch/fair_dispatcher.h
@@ -44,7 +44,7 @@
   void Tick(Instant now, DispatchEffects& out) override;
   void HandlePause(Instant now) override;
   void SetLeaving(const std::string& endpoint, bool leaving, Instant now, DispatchEffects& out) override;
-  std::vector<DispatchRequest> ReleaseQueue(std::int64_t max_forwards) override;
+  std::vector<DispatchRequest> ReleaseQueue() override;
   DispatcherLoad Load(Instant now) const override;
   std::vector<EndpointStatus> Endpoints(Instant now) const override;
   std::vector<AnnouncedConstraint> ConstraintsToAnnounce(Instant now) const override {
--- a/fescueramp/dispatch/fair_dispatcher_queue.cc
+++ b/fescueramp/dispatch/fair_dispatcher_queue.cc
@@ -245,11 +245,11 @@
   }
 }
 
-std::vector<DispatchRequest> FairDispatcher::ReleaseQueue(std::int64_t max_forwards) {
+std::vector<DispatchRequest> FairDispatcher::ReleaseQueue() {
   std::vector<DispatchRequest> released;
   for (auto& [id, pending] : m_pending) {
-    const bool stays = pending.m_request.m_claim_key != 0 || pending.m_request.m_forwards > max_forwards;
-    if (!pending.m_running.empty() || pending.m_maybe_ran || stays) continue;
+    const bool claimed = pending.m_request.m_claim_key != 0;
+    if (!pending.m_running.empty() || pending.m_maybe_ran || claimed) continue;
     RemoveFromQueue(pending);
     released.push_back(pending.m_request);
   }
--- a/fescueramp/node/endpoint_list.cc
+++ b/fescueramp/node/endpoint_list.cc
@@ -3,6 +3,12 @@
 #include <utility>
 
 namespace fescueramp {
+namespace {
+
+/// Time of failed reads after which the store is away, rather than this node or its network slow.
+constexpr Duration kOutageTime = std::chrono::seconds(3);
+
+}  // namespace
 
 bool EndpointList::Set(std::int64_t version, std::vector<LiveEndpoint> endpoints) {
   if (version < m_version) return false;
@@ -10,17 +16,16 @@
   ++m_generation;
   m_endpoints = std::move(endpoints);
   m_state = EndpointListState::kCurrent;
-  m_read_failed = false;
   return true;
 }
 
 void EndpointList::HandleWatchEnd() {
-  m_read_failed = false;
   if (m_state != EndpointListState::kNone) m_state = EndpointListState::kOutdated;
 }
 
-void EndpointList::UseLastKnown() {
-  if (m_state == EndpointListState::kOutdated) m_state = EndpointListState::kLastKnown;
+void EndpointList::HandleReadFailure(Instant now) {
+  if (m_state == EndpointListState::kOutdated && now - m_watch_start >= kOutageTime)
+    m_state = EndpointListState::kLastKnown;
 }
 
 }  // namespace fescueramp
--- a/fescueramp/node/endpoint_list.h
+++ b/fescueramp/node/endpoint_list.h
@@ -7,6 +7,7 @@
 
 #include "fescueramp/config/live_endpoint.h"
 #include "fescueramp/core/enum_table.h"
+#include "fescueramp/core/time.h"
 
 namespace fescueramp {
 
@@ -15,7 +16,7 @@
   kNone,       ///< There has been no list yet.
   kCurrent,    ///< Received since the watch began; the watch keeps it up to date.
   kOutdated,   ///< From an earlier watch: endpoints may have left since. Requests wait for the next list.
-  kLastKnown,  ///< From an earlier watch, and used because the store can't be read.
+  kLastKnown,  ///< From an earlier watch, and used because the store is away.
 };
 
 template <>
@@ -31,14 +32,15 @@
   /// @return Whether it was taken.
   bool Set(std::int64_t version, std::vector<LiveEndpoint> endpoints);
 
+  /// Notes that the node begins to watch the list.
+  void HandleWatchStart(Instant now) { m_watch_start = now; }
+
   /// Notes that the node doesn't watch the list any more.
   void HandleWatchEnd();
 
-  /// Notes that the store couldn't be read. Matters only until the first list of a watch.
-  void HandleReadFailure() { m_read_failed = true; }
-
-  /// Allows the use of an outdated list until the next one comes.
-  void UseLastKnown();
+  /// Notes that the store couldn't be read. An outdated list may be used, until the next one comes, if that
+  /// has been so since the watch began and for longer than a slow node needs for a read.
+  void HandleReadFailure(Instant now);
 
   EndpointListState State() const { return m_state; }
 
@@ -47,9 +49,6 @@
     return m_state == EndpointListState::kCurrent || m_state == EndpointListState::kLastKnown;
   }
 
-  /// Whether there is only an outdated list, and reading the store for another one has failed.
-  bool Unreplaceable() const { return m_state == EndpointListState::kOutdated && m_read_failed; }
-
   /// Store version of the list; 0 without one.
   std::int64_t Version() const { return m_version; }
 
@@ -63,7 +62,7 @@
   std::vector<LiveEndpoint> m_endpoints;
   std::int64_t m_version = 0;
   std::int64_t m_generation = 0;
-  bool m_read_failed = false;  ///< Whether a read has failed since the watch began or a list came.
+  Instant m_watch_start{};
 };
 
 }  // namespace fescueramp
--- a/fescueramp/node/node_reducer.cc
+++ b/fescueramp/node/node_reducer.cc
@@ -1,7 +1,6 @@
 #include "fescueramp/node/node_reducer.h"
 
 #include <algorithm>
-#include <limits>
 
 #include "fescueramp/config/object_set.h"
 #include "fescueramp/dispatch/baseline_dispatcher.h"
@@ -24,7 +23,6 @@
 constexpr int kDiscoveryRetransmitFactor = 1;
 /// Time allowed for reading the list of endpoints.
 constexpr Duration kEndpointListTimeout = std::chrono::milliseconds(250);
-constexpr std::int64_t kAnyForwards = std::numeric_limits<std::int64_t>::max();
 /// Time allowed for nodes to find one another.
 constexpr Duration kWatchStartDelay = std::chrono::milliseconds(1500);
 /// Time between two announcements of constraints; a third of the time for which an announcement counts.
@@ -169,14 +167,19 @@
   if (m_table && HasOutdatedSplit(request)) return FinishRedirected(request);
   Dispatcher* dispatcher = FindOrCreateDispatcher(PartOf(request), now);
   if (!dispatcher || m_leaving) return FinishUnstarted(request, ResultCode::kNotReady);
-  const bool hands_back = (request.m_forwards <= kMaxHandBacks && m_membership.OwnerCandidates().size() > 1 &&
-                           dispatcher->PathsFailing(now)) ||
-                          (request.m_forwards <= MaxForwardsToHandBack() &&
-                           m_endpoint_list.State() == EndpointListState::kLastKnown);
+  const bool paths_failing = request.m_forwards <= kMaxHandBacks &&
+                             m_membership.OwnerCandidates().size() > 1 && dispatcher->PathsFailing(now);
+  const bool hands_back = paths_failing || MayHaveNewerListElsewhere(request);
   if (hands_back) return FinishUnstarted(request, ResultCode::kNotReady);
   if (TakeQuota(request, now)) StartAccepted(request, now);
 }
 
+bool NodeReducer::MayHaveNewerListElsewhere(const DispatchRequest& request) const {
+  const std::int64_t other_nodes = std::ssize(m_membership.OwnerCandidates()) - 1;
+  return m_endpoint_list.State() == EndpointListState::kLastKnown &&
+         request.m_forwards <= std::min(kMaxHandBacks, other_nodes);
+}
+
 bool NodeReducer::TakeQuota(const DispatchRequest& request, Instant now) {
   // A request that may have run at another dispatcher was taken from the quota there.
   if (request.m_maybe_ran || !FleetQuotas::LimitOf(m_table, request.m_account).Limits()) return true;
@@ -553,10 +556,9 @@
 }
 
 void NodeReducer::Handle(const EndpointsListed& event, Instant now) {
-  const EndpointListState previous = m_endpoint_list.State();
-  if (!m_endpoint_list.Set(event.m_version, event.m_endpoints)) return;
-  if (m_endpoint_list.State() != previous) ReportEndpointListState();
-  ApplyEndpointList(now);
+  bool taken = false;
+  ChangeEndpointList([&] { taken = m_endpoint_list.Set(event.m_version, event.m_endpoints); });
+  if (taken) ApplyEndpointList(now);
 }
 
 void NodeReducer::ApplyEndpointList(Instant now) {
@@ -568,12 +570,16 @@
 }
 
 void NodeReducer::Handle(const EndpointListFailed&, Instant now) {
-  m_endpoint_list.HandleReadFailure();
-  ReleaseQueuesWithoutEndpoints(now);
+  if (ChangeEndpointList([&] { m_endpoint_list.HandleReadFailure(now); })) ApplyEndpointList(now);
 }
 
-void NodeReducer::ReportEndpointListState() {
+template <typename Change>
+bool NodeReducer::ChangeEndpointList(const Change& change) {
+  const EndpointListState previous = m_endpoint_list.State();
+  change();
+  if (m_endpoint_list.State() == previous) return false;
   m_effects.emplace_back(ReportEndpointList{m_endpoint_list.State(), m_endpoint_list.Version()});
+  return true;
 }
 
 void NodeReducer::Handle(const NodesFound& event, Instant now) {
@@ -587,7 +593,7 @@
   m_membership.Leave(MemberState::kLeaving, now);
   for (const auto& request : m_quotas.ReleaseWaiting()) FinishUnstarted(request, ResultCode::kNotReady);
   for (auto& [service, dispatcher] : m_dispatchers) {
-    for (const auto& request : dispatcher->ReleaseQueue(kAnyForwards)) {
+    for (const auto& request : dispatcher->ReleaseQueue()) {
       m_part_by_request.erase(request.m_request_id);
       FinishUnstarted(request, ResultCode::kNotReady);
     }
@@ -646,27 +652,14 @@
 }
 
 void NodeReducer::ReleaseQueuesWithoutEndpoints(Instant now) {
-  if (m_endpoint_list.Usable()) return;
-  const bool unreplaceable = m_endpoint_list.Unreplaceable();
-  const bool has_list = m_endpoint_list.State() == EndpointListState::kOutdated;
-  const bool alone = m_membership.OwnerCandidates().size() <= 1;
-  const std::int64_t max_forwards = has_list ? MaxForwardsToHandBack() : kAnyForwards;
+  if (m_endpoint_list.Usable() || m_membership.OwnerCandidates().size() <= 1) return;
   for (auto& [name, dispatcher] : m_dispatchers) {
-    const bool waits = now - m_parts.at(name).m_opened < kEndpointListTimeout && !unreplaceable;
-    if (waits || alone) continue;
-    for (const auto& request : dispatcher->ReleaseQueue(max_forwards)) {
+    if (now - m_parts.at(name).m_opened < kEndpointListTimeout) continue;
+    for (const auto& request : dispatcher->ReleaseQueue()) {
       m_part_by_request.erase(request.m_request_id);
       FinishUnstarted(request, ResultCode::kNotReady);
     }
   }
-  if (!unreplaceable) return;
-  m_endpoint_list.UseLastKnown();
-  ReportEndpointListState();
-  ApplyEndpointList(now);
-}
-
-std::int64_t NodeReducer::MaxForwardsToHandBack() const {
-  return std::min(kMaxHandBacks, std::ssize(m_membership.OwnerCandidates()) - 1);
 }
 
 bool NodeReducer::IsWatcher() const {
@@ -692,7 +685,11 @@
   scope.m_configuration = dispatches || isolated || IsWatcher();
   scope.m_endpoints = m_settings.m_discovery ? dispatches : scope.m_configuration;
   if (scope == m_watching) return;
-  if (m_watching.m_endpoints && !scope.m_endpoints) m_endpoint_list.HandleWatchEnd();
+  if (m_watching.m_endpoints != scope.m_endpoints) {
+    ChangeEndpointList([&] {
+      scope.m_endpoints ? m_endpoint_list.HandleWatchStart(now) : m_endpoint_list.HandleWatchEnd();
+    });
+  }
   m_watching = scope;
   m_effects.emplace_back(SetWatchScope{scope});
 }
--- a/fescueramp/node/node_reducer.h
+++ b/fescueramp/node/node_reducer.h
@@ -179,14 +179,18 @@
   /// Passes the live endpoints to all dispatchers.
   void ApplyEndpointList(Instant now);
 
+  /// Applies an event to the state of the list of endpoints, and reports the state if it has changed.
+  /// @return Whether it has changed.
+  template <typename Change>
+  bool ChangeEndpointList(const Change& change);
+
+  /// Whether another node may have a newer list of endpoints than the last one known here.
+  bool MayHaveNewerListElsewhere(const DispatchRequest& request) const;
+
   /// Hands queued requests back while this node has no list of endpoints that it may use, for example because
-  /// it can't reach the store. Uses an outdated list for those that other nodes have handed back too.
+  /// it can't reach the store.
   void ReleaseQueuesWithoutEndpoints(Instant now);
 
-  /// Highest number of forwards of a request that is handed back: at least one other node hasn't had it.
-  std::int64_t MaxForwardsToHandBack() const;
-  void ReportEndpointListState();
-
   /// Removes the dispatchers of parts that other nodes own once they have been idle for a while.
   void CloseUnusedDispatchers(Instant now);
   bool IsWatcher() const;
--- a/unit_tests/broken_dispatcher.h
+++ b/unit_tests/broken_dispatcher.h
@@ -68,9 +68,7 @@
     InjectFault(out);
   }
 
-  std::vector<DispatchRequest> ReleaseQueue(std::int64_t max_forwards) override {
-    return m_inner->ReleaseQueue(max_forwards);
-  }
+  std::vector<DispatchRequest> ReleaseQueue() override { return m_inner->ReleaseQueue(); }
 
   DispatcherLoad Load(Instant now) const override {
     DispatcherLoad load = m_inner->Load(now);
