Read the list of endpoints soon after the store answers again

Cause: entries that the first list after an outage lacks are kept for 2.3 s, and that list came up to 1.9 s late: 0.7 s for a connection attempt whose packet was lost, 1.2 s between attempts; expired entries were found 250 ms late. Ruled out by the trace in docs/incidents/2026-12-07-list-after-a-cut.md: a node that didn't watch, a watch that survived the cut.

--- a/fescueramp/store/pooled_http_client.cc
+++ b/fescueramp/store/pooled_http_client.cc
@@ -1,5 +1,7 @@
 #include "fescueramp/store/pooled_http_client.h"
 
+#include <algorithm>
+
 namespace fescueramp {
 namespace {
 
@@ -39,6 +41,7 @@
   if (!body.empty()) head.m_headers.push_back({"Content-Type", "application/json"});
   HttpResponse response;
   try {
+    co_await connection->Connect(std::min(m_settings.m_connect_timeout, timeout));
     response = co_await connection->Request(std::move(head), std::move(body), timeout, m_settings.m_response);
     m_available = response.m_status != kStatusUnavailable;
     if (connection->Reusable() && m_idle_connections.size() < kMaxIdleConnections)
--- a/fescueramp/store/pooled_http_client.h
+++ b/fescueramp/store/pooled_http_client.h
@@ -21,6 +21,8 @@
   double m_calls_per_s = 100;  ///< Maximum rate of calls by this node, per second; further calls are delayed.
   double m_call_burst = 200;   ///< Calls that may exceed the rate at once.
   ResponseLimits m_response{kMaxStoreResponseBytes, std::chrono::seconds(10)};  ///< Of one call.
+  /// Longest time for a new connection, if it is shorter than the timeout of the call.
+  std::chrono::milliseconds m_connect_timeout = std::chrono::milliseconds::max();
 };
 
 /// HTTP client of a store that reuses connections and limits the rate of calls.
--- a/unit_tests/endpoint_watch_test.cc
+++ b/unit_tests/endpoint_watch_test.cc
@@ -48,6 +48,22 @@
   BOOST_TEST(node.Lists() == 0);
 }
 
+// Guards against a node that is in touch with the store again, but not with what it missed: the endpoints
+// that left during its cut. Their entries are kept for kReregistrationTime from the first read on.
+BOOST_AUTO_TEST_CASE(ListIsReadSoonAfterTheStoreAnswersAgain) {
+  constexpr int kLongestDelayReached = 4;  // Failed reads.
+  constexpr int kMaxTimersToRead = 5;
+  WatchingNode node;
+  node.Store().Put("op/config", ConfigText("00000001"));
+  node.Store().Put("servers/i-1", EndpointText("ready", 1));
+  node.Start();
+  node.Store().SetRefusing(true);
+  BOOST_REQUIRE(node.RunUntil([&] { return node.FailedReads() >= kLongestDelayReached; }));
+  BOOST_TEST(node.Lists() == 1);
+  node.Store().SetRefusing(false);
+  BOOST_TEST(node.RunUntil([&] { return node.Lists() == 2; }, kMaxTimersToRead));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace
--- a/unit_tests/kv_store_stand_in.cc
+++ b/unit_tests/kv_store_stand_in.cc
@@ -87,9 +87,10 @@
   }
   const std::int64_t era = m_era;
   ++m_waiting_watches;
-  while (m_era == era && EventsAfter(prefix, after).empty()) co_await Sleep(std::chrono::milliseconds(2));
+  while (m_era == era && !m_refusing && EventsAfter(prefix, after).empty())
+    co_await Sleep(std::chrono::milliseconds(2));
   --m_waiting_watches;
-  if (m_era != era && m_watch_end == WatchEnd::kCut) {
+  if (m_refusing || (m_era != era && m_watch_end == WatchEnd::kCut)) {
     exchange->Abort();
     co_return;
   }
@@ -109,6 +110,10 @@
   for (const auto& param : url->params()) query[param.key] = param.value;
   json::object body;
   std::int64_t status = 200;
+  if (m_refusing) {
+    co_await Reply(exchange, 503, std::move(body));
+    co_return;
+  }
   if (path == "/api/kv-watch") {
     co_await Watch(exchange, query["prefix"], std::stoll(query["after"]));
     co_return;
--- a/unit_tests/kv_store_stand_in.h
+++ b/unit_tests/kv_store_stand_in.h
@@ -43,6 +43,9 @@
   /// Answers watches by bodies without an end from now on.
   void SendEndlessWatchResponses() { m_endless_watches = true; }
 
+  /// Refuses all calls, and cuts waiting watches, or serves again.
+  void SetRefusing(bool refusing) { m_refusing = refusing; }
+
   bool Has(const std::string& key) const { return m_data.m_items.contains(key); }
   std::int64_t Revision() const { return m_data.m_revision; }
   int WaitingWatches() const { return m_waiting_watches; }
@@ -77,6 +80,7 @@
   Data m_copy;
   bool m_serves_copy = false;
   bool m_endless_watches = false;
+  bool m_refusing = false;
   std::int64_t m_era = 1;
   WatchEnd m_watch_end = WatchEnd::kResponse;
   int m_waiting_watches = 0;
--- a/unit_tests/watching_node.cc
+++ b/unit_tests/watching_node.cc
@@ -7,9 +7,6 @@
 namespace fescueramp::platform {
 namespace {
 
-/// Time in which the users want a change to be in force, counted in timers that expire on the node's own
-/// thread: where the machine is slow, they are as late as the node's timers.
-constexpr int kMaxTimers = 40;
 constexpr std::chrono::milliseconds kTimerPeriod{100};
 
 }  // namespace
@@ -73,7 +70,7 @@
   BOOST_REQUIRE(RunUntil([&] { return m_store.WaitingWatches() == 2 && m_store.Has(kNodeKey); }));
 }
 
-bool WatchingNode::RunUntil(const std::function<bool()>& condition) {
+bool WatchingNode::RunUntil(const std::function<bool()>& condition, int max_timers) {
   asio::steady_timer timer(m_io);
   int timers = 0;
   std::function<void()> start = [&] {
@@ -85,7 +82,7 @@
     });
   };
   start();
-  while (!condition() && timers < kMaxTimers) m_io.run_one();
+  while (!condition() && timers < max_timers) m_io.run_one();
   timer.cancel();
   // Runs the handler of the cancelled timer, which refers to local variables.
   m_io.poll();
--- a/unit_tests/watching_node.h
+++ b/unit_tests/watching_node.h
@@ -24,6 +24,10 @@
 /// A control plane on a store on loopback, and what it has posted. Its clock stands still.
 class WatchingNode final : public EventSink {
  public:
+  /// Time in which the users want a change to be in force, counted in timers that expire on the node's own
+  /// thread: where the machine is slow, they are as late as the node's timers.
+  static constexpr int kMaxTimers = 40;
+
   WatchingNode();
 
   void Post(Event event) override;
@@ -35,7 +39,10 @@
   void Start();
 
   /// Runs until a condition holds; false if that takes longer than the users allow for a change.
-  bool RunUntil(const std::function<bool()>& condition);
+  bool RunUntil(const std::function<bool()>& condition) { return RunUntil(condition, kMaxTimers); }
+
+  /// Runs until a condition holds; false if it doesn't before so many timers of 100 ms have expired.
+  bool RunUntil(const std::function<bool()>& condition, int max_timers);
 
   /// Runs until the coroutine has ended. @return Its result; false if that takes longer than the users allow.
   bool Await(asio::awaitable<bool> work);
