Share the client of raw bytes between two unit tests

http_test and response_framing_test had the same lines for sending bytes and reading until the close; they are in unit_tests/raw_client now. No check changed.

--- a/unit_tests/http_test.cc
+++ b/unit_tests/http_test.cc
@@ -1,8 +1,6 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/random/mersenne_twister.hpp>
 #include <boost/random/uniform_int_distribution.hpp>
 #include <boost/test/data/monomorphic.hpp>
@@ -11,12 +9,11 @@
 
 #include "fescueramp/net/http_client.h"
 #include "fescueramp/net/http_server.h"
+#include "unit_tests/raw_client.h"
 
 namespace fescueramp {
 namespace {
 
-using tcp = asio::ip::tcp;
-
 /// Target after whose response the server closes the connection without announcing it.
 constexpr const char* kCloseAfterResponse = "/then-close";
 
@@ -71,14 +68,7 @@
   }
 
   asio::awaitable<void> SendRaw(std::string bytes, std::string& response) {
-    tcp::socket socket(m_io);
-    boost::system::error_code ec;
-    const tcp::endpoint server(asio::ip::address_v4::loopback(), Port());
-    co_await socket.async_connect(server, asio::redirect_error(asio::use_awaitable, ec));
-    co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
-    socket.shutdown(tcp::socket::shutdown_send, ec);
-    co_await asio::async_read(socket, asio::dynamic_buffer(response),
-                              asio::redirect_error(asio::use_awaitable, ec));
+    response = co_await ExchangeBytes(Port(), std::move(bytes));
     m_done = true;
   }
 
--- a/unit_tests/response_framing_test.cc
+++ b/unit_tests/response_framing_test.cc
@@ -1,19 +1,16 @@
 #include <boost/asio/co_spawn.hpp>
 #include <boost/asio/detached.hpp>
 #include <boost/asio/io_context.hpp>
-#include <boost/asio/read.hpp>
-#include <boost/asio/write.hpp>
 #include <boost/test/data/monomorphic.hpp>
 #include <boost/test/data/test_case.hpp>
 #include <boost/test/unit_test.hpp>
 
 #include "fescueramp/net/http_server.h"
+#include "unit_tests/raw_client.h"
 
 namespace fescueramp {
 namespace {
 
-using tcp = asio::ip::tcp;
-
 const std::string kBody = "body of the response";
 const std::string kEndOfHead = "\r\n\r\n";
 const std::string kNextTarget = "/next";  ///< Target of the request behind the one under test.
@@ -100,14 +97,7 @@
   }
 
   asio::awaitable<void> SendRaw(std::string bytes, std::string& received) {
-    tcp::socket socket(m_io);
-    boost::system::error_code ec;
-    const tcp::endpoint server(asio::ip::address_v4::loopback(), m_server.Port());
-    co_await socket.async_connect(server, asio::redirect_error(asio::use_awaitable, ec));
-    co_await asio::async_write(socket, asio::buffer(bytes), asio::redirect_error(asio::use_awaitable, ec));
-    socket.shutdown(tcp::socket::shutdown_send, ec);
-    co_await asio::async_read(socket, asio::dynamic_buffer(received),
-                              asio::redirect_error(asio::use_awaitable, ec));
+    received = co_await ExchangeBytes(m_server.Port(), std::move(bytes));
     m_done = true;
   }
 
