--- a/unit_tests/endpoint_watch_test.cc
+++ b/unit_tests/endpoint_watch_test.cc
@@ -22,7 +22,7 @@
   BOOST_TEST(node.RunUntil([&] { return node.Lists() == 2; }));
 }
 
-// Guards against the changes of a watch that nobody waits for, posted among those of a later one.
+// Guards against a late response of an earlier watch that is posted after the list of a later one.
 BOOST_AUTO_TEST_CASE(EarlierWatchPostsNothing) {
   WatchingNode node;
   node.Store().Put("op/config", ConfigText("00000001"));
--- a/unit_tests/entry_handler_test.cc
+++ b/unit_tests/entry_handler_test.cc
@@ -170,7 +170,7 @@
   BOOST_TEST(node.Entry().RequestsInProgress() == 0U);
 }
 
-// Guards against a caller of HEAD that is told a length of 0.
+// Guards against a Content-Length of 0 in place of the length that the endpoint named.
 BOOST_AUTO_TEST_CASE(ResponseToHeadKeepsTheLengthThatTheEndpointNamed) {
   EntryWithOneCaller node;
   node.Send("HEAD /1 HTTP/1.1\r\nHost: a\r\n\r\n");
